--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration: a small cell on loopback, from start to counted end."""
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the product: scenarios per promise and stateful fuzzing."""
--- /dev/null
+++ b/features/__main__.py
@@ -0,0 +1,43 @@
+"""Run all tests: ``python -m features [PATH ...]``.
+
+The last line counts them. Failures that ``KNOWN-RED.txt`` lists are printed
+and passed over.
+"""
+
+import logging
+import sys
+from pathlib import Path
+
+from features.runner import Tally, run_scenarios
+
+_KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
+
+
+def known_red() -> set[str]:
+    """Return the names of checks that are known to fail."""
+    if not _KNOWN_RED.exists():
+        return set()
+    lines = _KNOWN_RED.read_text(encoding='utf-8').splitlines()
+    return {
+        line.removeprefix('test: ').strip()
+        for line in lines
+        if line.startswith('test: ')
+    }
+
+
+def main(paths: list[str]) -> int:
+    """Run everything and return the exit status."""
+    logging.disable(logging.CRITICAL)
+    tally = Tally()
+    run_scenarios(tally, paths)
+    allowed = known_red()
+    for name in tally.failed:
+        note = 'known, see KNOWN-RED.txt' if name in allowed else 'FAILED'
+        sys.stdout.write(f'{note}: {name}\n')
+    failed = [name for name in tally.failed if name not in allowed]
+    sys.stdout.write(f'{len(tally.passed)} passed, {len(failed)} failed\n')
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/cyclamentrack-cli/cyclamentrack_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The cyclamentrack command line, for callers and operators."""
--- /dev/null
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The cyclamentrack daemon: HTTP, peers and platform plug-ins."""
--- /dev/null
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/bodies.py
@@ -0,0 +1,111 @@
+"""Reading and checking request bodies and query values."""
+
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+from starlette.requests import Request
+
+from cyclamentrack import defaults
+from cyclamentrack.errors import ErrorKind, Problem
+
+_Typed = TypeVar('_Typed')
+
+
+class Items(msgspec.Struct, frozen=True, kw_only=True):
+    """The items of a body; ``many`` says that the body was an array."""
+
+    entries: list[msgspec.Raw]
+    many: bool
+
+
+async def read_body(request: Request) -> Result[bytes, Problem]:
+    """Read a body up to the limit, without taking in more than that."""
+    chunks: list[bytes] = []
+    size = 0
+    async for chunk in request.stream():
+        size += len(chunk)
+        if size > defaults.BODY_BYTES:
+            return Failure(_too_large())
+        chunks.append(chunk)
+    return Success(b''.join(chunks))
+
+
+def split_items(body: bytes) -> Result[Items, Problem]:
+    """Split a body into its items: one object, or an array of them."""
+    many = body.lstrip()[:1] == b'['
+    try:
+        if many:
+            entries = msgspec.json.decode(body, type=list[msgspec.Raw])
+        else:
+            msgspec.json.decode(body)
+            entries = [msgspec.Raw(body)]
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(
+            Problem(
+                kind=ErrorKind.MALFORMED,
+                detail=f'the body is not JSON: {error}',
+                remedy='send one JSON object, or an array of objects',
+            ),
+        )
+    if len(entries) > defaults.ARRAY_ITEMS:
+        return Failure(_too_many(len(entries)))
+    return Success(Items(entries=entries, many=many))
+
+
+def decode_as(body: bytes, into: type[_Typed] | Any) -> Result[Any, Problem]:
+    """Decode JSON into a type; the problem names the key and the remedy."""
+    try:
+        return Success(msgspec.json.decode(body, type=into))
+    except msgspec.ValidationError as error:
+        return Failure(
+            Problem(
+                kind=ErrorKind.INVALID,
+                detail=str(error),
+                remedy='correct that key; docs/api.md lists fields and units',
+            ),
+        )
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Failure(
+            Problem(
+                kind=ErrorKind.MALFORMED,
+                detail=f'the body is not JSON: {error}',
+                remedy='send a JSON object',
+            ),
+        )
+
+
+def read_seconds(
+    request: Request, name: str, *, most: float
+) -> Result[float, Problem]:
+    """Read a query value in seconds, from zero to ``most``."""
+    text = request.query_params.get(name, '0')
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1
+    if 0 <= seconds <= most:
+        return Success(seconds)
+    return Failure(
+        Problem(
+            kind=ErrorKind.INVALID,
+            detail=f'{name} is {text!r}',
+            remedy=f'give seconds from 0 to {most:.0f}',
+        ),
+    )
+
+
+def _too_large() -> Problem:
+    return Problem(
+        kind=ErrorKind.TOO_LARGE,
+        detail=f'the body is larger than {defaults.BODY_BYTES} bytes',
+        remedy='send the items in several requests',
+    )
+
+
+def _too_many(count: int) -> Problem:
+    return Problem(
+        kind=ErrorKind.TOO_LARGE,
+        detail=f'the array has {count} items',
+        remedy=f'send at most {defaults.ARRAY_ITEMS} items per request',
+    )
--- /dev/null
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/main.py
@@ -0,0 +1,65 @@
+"""Command line of the daemon."""
+
+import logging
+from pathlib import Path
+from typing import Annotated
+
+import trio
+import typer
+from returns.result import Failure, Success
+
+from cyclamentrack.errors import SettingsError
+from cyclamentrack_daemon.daemon import Daemon
+from cyclamentrack_daemon.logs import set_up_logging
+from cyclamentrack_daemon.settings import Settings, load_settings
+
+_log = logging.getLogger(__name__)
+
+_EXIT_SETTINGS = 2
+
+app = typer.Typer(add_completion=False)
+
+
+@app.command()
+def run(
+    config: Annotated[
+        Path,
+        typer.Option(help='Settings file (TOML).'),
+    ],
+    check: Annotated[
+        bool,
+        typer.Option(help='Check the settings and exit.'),
+    ] = False,
+) -> None:
+    """Run one daemon of a cyclamentrack cell.
+
+    SIGTERM drains it: partitions are handed over and requests in flight are
+    answered. Exit status 2 means that the settings can't be used.
+    """
+    match load_settings(config):
+        case Failure(error):
+            _refuse(error)
+        case Success(settings):
+            if check:
+                typer.echo('settings are valid')
+                return
+            _serve(settings)
+
+
+def _serve(settings: Settings) -> None:
+    set_up_logging(settings.log, instance=settings.instance.name)
+    try:
+        daemon = Daemon(settings=settings)
+    except SettingsError as error:
+        _refuse(error)
+    trio.run(daemon.run)
+
+
+def _refuse(error: SettingsError) -> None:
+    typer.echo(f'cyclamentrackd: {error}', err=True)
+    raise typer.Exit(_EXIT_SETTINGS)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
@@ -0,0 +1,175 @@
+"""Connections between daemons: websockets with CBOR.
+
+One task keeps the connection to each peer and one serves each connection
+from a peer. A connection that misses its heartbeat is closed, and the next
+call opens a new one.
+"""
+
+import logging
+from collections.abc import Awaitable, Callable
+from itertools import count
+
+import msgspec
+import trio
+from websockets.exceptions import WebSocketException
+from websockets.trio.client import connect
+from websockets.trio.connection import Connection
+from websockets.trio.server import ServerConnection, serve
+
+from cyclamentrack import defaults
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.errors import PeerSilentError
+from cyclamentrack.messages import PROTOCOL_VERSION, PeerMessage
+
+_log = logging.getLogger(__name__)
+
+_PROTOCOL = f'cyclamentrack.v{PROTOCOL_VERSION}'
+_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True):
+    """One message on a connection; a reply carries its request's number."""
+
+    number: int
+    message: PeerMessage
+
+
+class PeerLinks:
+    """Calls to peers, each over the one connection to its address."""
+
+    def __init__(self, *, nursery: trio.Nursery) -> None:
+        """Keep connections in the nursery."""
+        self._nursery = nursery
+        self._links: dict[str, _Link] = {}
+
+    async def call(
+        self, *, address: str, message: PeerMessage, timeout_s: float
+    ) -> PeerMessage:
+        """Send a request and return its reply.
+
+        Raises ``PeerSilentError`` when there is none in time.
+        """
+        with trio.move_on_after(timeout_s):
+            return await self._link(address).call(message)
+        raise PeerSilentError(peer=address)
+
+    def _link(self, address: str) -> '_Link':
+        link = self._links.get(address)
+        if link is None or link.closed:
+            link = _Link(address=address)
+            self._links[address] = link
+            self._nursery.start_soon(link.run)
+        return link
+
+
+class _Link:
+    """The connection to one peer."""
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        self._numbers = count(1)
+        self._waiting: dict[int, trio.MemorySendChannel] = {}
+        self._open = trio.Event()
+        self._connection: Connection | None = None
+        self.closed = False
+
+    async def run(self) -> None:
+        """Connect, and hand replies to their callers until closed."""
+        try:
+            async with connect(
+                f'ws://{self._address}',
+                subprotocols=[_PROTOCOL],
+                compression=None,
+                proxy=None,
+                open_timeout=defaults.PEER_SILENCE_S,
+                ping_interval=defaults.PEER_HEARTBEAT_S,
+                ping_timeout=defaults.PEER_SILENCE_S,
+                max_size=_MAX_MESSAGE_BYTES,
+            ) as connection:
+                self._connection = connection
+                self._open.set()
+                await self._receive(connection)
+        except (OSError, WebSocketException, TimeoutError) as error:
+            _log.debug('connection to %s ended: %r', self._address, error)
+        finally:
+            self._close()
+
+    async def call(self, message: PeerMessage) -> PeerMessage:
+        """Send a request and wait for its reply."""
+        number = next(self._numbers)
+        send, receive = trio.open_memory_channel[PeerMessage](1)
+        self._waiting[number] = send
+        try:
+            await self._open.wait()
+            if self._connection is None or self.closed:
+                raise PeerSilentError(peer=self._address)
+            await self._connection.send(encode(Frame(number, message)))
+            return await receive.receive()
+        except (
+            WebSocketException,
+            OSError,
+            trio.EndOfChannel,
+        ) as error:
+            raise PeerSilentError(peer=self._address) from error
+        finally:
+            self._waiting.pop(number, None)
+
+    async def _receive(self, connection: Connection) -> None:
+        async for packet in connection:
+            frame = decode(packet, Frame)
+            waiting = self._waiting.get(frame.number)
+            if waiting is not None:
+                waiting.send_nowait(frame.message)
+
+    def _close(self) -> None:
+        """Fail all calls that wait; the next one opens a new connection."""
+        self.closed = True
+        self._open.set()
+        for waiting in self._waiting.values():
+            waiting.close()
+
+
+async def serve_peers(
+    address: str,
+    handle: Callable[[PeerMessage], Awaitable[PeerMessage]],
+    *,
+    task_status: trio.TaskStatus[object] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve the connections of peers until cancelled."""
+    host, _, port = address.rpartition(':')
+
+    async def serve_one(connection: ServerConnection) -> None:
+        async with trio.open_nursery() as nursery:
+            try:
+                async for packet in connection:
+                    frame = decode(packet, Frame)
+                    nursery.start_soon(_answer, connection, frame, handle)
+            except WebSocketException:
+                _log.debug('a connection from a peer was closed')
+            nursery.cancel_scope.cancel()
+
+    await serve(
+        serve_one,
+        int(port),
+        host=host,
+        subprotocols=[_PROTOCOL],
+        compression=None,
+        ping_interval=defaults.PEER_HEARTBEAT_S,
+        ping_timeout=defaults.PEER_SILENCE_S,
+        max_size=_MAX_MESSAGE_BYTES,
+        task_status=task_status,
+    )
+
+
+async def _answer(
+    connection: ServerConnection,
+    frame: Frame,
+    handle: Callable[[PeerMessage], Awaitable[PeerMessage]],
+) -> None:
+    try:
+        reply = await handle(frame.message)
+        await connection.send(encode(Frame(frame.number, reply)))
+    except WebSocketException:
+        _log.debug('a reply had nowhere to go')
+    except Exception:
+        _log.exception('a request of a peer failed')
--- /dev/null
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
@@ -0,0 +1,287 @@
+"""Platform plug-ins, in a registry by name.
+
+A plug-in builds the ways to the platform's services from the daemon's
+settings. The built-in ``http`` plug-in speaks to the platform over HTTP.
+"""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import quote
+
+import httpcore
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.errors import (
+    ConditionFailedError,
+    SettingsError,
+    StoreUncertainError,
+    WorkerRefusedError,
+    WorkerSilentError,
+)
+from cyclamentrack.ports import (
+    Instance,
+    Instances,
+    Lookup,
+    ObjectStore,
+    Row,
+    Seal,
+    Sync,
+    SyncAnswer,
+    Table,
+    Transaction,
+    Watch,
+    Workers,
+)
+from cyclamentrack_daemon import wire
+from cyclamentrack_daemon.settings import Settings
+
+_WORKER_CONNECTIONS = 64
+_PLATFORM_CONNECTIONS = 16
+_KEEP_ALIVE_S = 30.0
+_JSON = [(b'Content-Type', b'application/json')]
+_UNREACHABLE = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+    httpcore.UnsupportedProtocol,
+)
+
+
+class PlatformServices(msgspec.Struct, frozen=True, kw_only=True):
+    """The ways to the platform's services and to the workers."""
+
+    table: Table
+    store: ObjectStore
+    instances: Instances
+    workers: Workers
+
+
+PlatformPlugin = Callable[[Settings], PlatformServices]
+
+_plugins: dict[str, PlatformPlugin] = {}
+
+
+def register_platform(name: str) -> Callable[[PlatformPlugin], PlatformPlugin]:
+    """Register a platform plug-in under the name used in the settings."""
+
+    def decorate(plugin: PlatformPlugin) -> PlatformPlugin:
+        _plugins[name] = plugin
+        return plugin
+
+    return decorate
+
+
+def connect_platform(settings: Settings) -> PlatformServices:
+    """Build the services with the plug-in that the settings name.
+
+    Raises ``SettingsError`` when there is no such plug-in.
+    """
+    name = settings.platform.plugin
+    plugin = _plugins.get(name)
+    if plugin is None:
+        raise SettingsError(
+            message=f'platform.plugin is {name!r}, which is not registered',
+            remedy=f'use one of: {", ".join(sorted(_plugins))}',
+        )
+    return plugin(settings)
+
+
+@register_platform('http')
+def connect_http(settings: Settings) -> PlatformServices:
+    """Build the services of a platform that is met over HTTP."""
+    pool = httpcore.AsyncConnectionPool(
+        max_connections=_PLATFORM_CONNECTIONS,
+        keepalive_expiry=_KEEP_ALIVE_S,
+    )
+    base = f'http://{settings.platform.address}/v1'
+    return PlatformServices(
+        table=HttpTable(pool=pool, base=base),
+        store=HttpStore(pool=pool, base=base),
+        instances=HttpInstances(pool=pool, base=base),
+        workers=HttpWorkers(),
+    )
+
+
+class _Reply(msgspec.Struct, frozen=True, kw_only=True):
+    status: int
+    body: bytes
+
+
+async def _call(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    body: bytes = b'',
+) -> _Reply:
+    response = await pool.request(method, url, headers=_JSON, content=body)
+    return _Reply(status=response.status, body=response.content)
+
+
+async def _ask(
+    pool: httpcore.AsyncConnectionPool,
+    method: str,
+    url: str,
+    body: bytes = b'',
+) -> _Reply:
+    """Call the platform; silence and failures are uncertain."""
+    with trio.move_on_after(defaults.TABLE_TIMEOUT_S):
+        try:
+            reply = await _call(pool, method, url, body)
+        except _UNREACHABLE as error:
+            raise StoreUncertainError(message=f'{url}: {error!r}') from error
+        if reply.status >= wire.HTTP_UNAVAILABLE:
+            raise StoreUncertainError(message=f'{url}: status {reply.status}')
+        return reply
+    raise StoreUncertainError(message=f'{url} gave no answer')
+
+
+class HttpTable:
+    """The table service over HTTP."""
+
+    def __init__(
+        self, *, pool: httpcore.AsyncConnectionPool, base: str
+    ) -> None:
+        """Call through a pool of connections."""
+        self._pool = pool
+        self._base = f'{base}/table'
+
+    async def read(self, *, keys: Sequence[str]) -> list[Row | None]:
+        """Return rows by key."""
+        request = wire.ReadRequest(keys=list(keys))
+        reply = await self._post('read', request)
+        return msgspec.json.decode(reply.body, type=wire.ReadReply).rows
+
+    async def scan(self, *, prefix: str, limit: int, after: str) -> list[Row]:
+        """Return rows in key order."""
+        request = wire.ScanRequest(prefix=prefix, limit=limit, after=after)
+        reply = await self._post('scan', request)
+        return msgspec.json.decode(reply.body, type=list[Row])
+
+    async def commit(self, *, transaction: Transaction) -> None:
+        """Apply a transaction."""
+        reply = await self._post('commit', transaction)
+        if reply.status == wire.HTTP_CONFLICT:
+            failed = msgspec.json.decode(reply.body, type=wire.ConditionReply)
+            raise ConditionFailedError(key=failed.key)
+
+    async def _post(self, verb: str, request: Any) -> _Reply:
+        return await _ask(
+            self._pool,
+            'POST',
+            f'{self._base}/{verb}',
+            msgspec.json.encode(request),
+        )
+
+
+class HttpStore:
+    """The object store over HTTP."""
+
+    def __init__(
+        self, *, pool: httpcore.AsyncConnectionPool, base: str
+    ) -> None:
+        """Call through a pool of connections."""
+        self._pool = pool
+        self._base = f'{base}/objects'
+
+    async def put(self, *, key: str, body: bytes) -> None:
+        """Store an object."""
+        await _ask(self._pool, 'PUT', self._url(key), body)
+
+    async def fetch(self, *, key: str) -> bytes | None:
+        """Return an object, or ``None``."""
+        reply = await _ask(self._pool, 'GET', self._url(key))
+        return None if reply.status == wire.HTTP_NOT_FOUND else reply.body
+
+    async def remove(self, *, key: str) -> None:
+        """Remove an object."""
+        await _ask(self._pool, 'DELETE', self._url(key))
+
+    async def names(self, *, prefix: str) -> list[str]:
+        """Return the keys with a prefix."""
+        url = f'{self._base}?prefix={quote(prefix, safe="")}'
+        reply = await _ask(self._pool, 'GET', url)
+        return msgspec.json.decode(reply.body, type=wire.NamesReply).names
+
+    def _url(self, key: str) -> str:
+        return f'{self._base}/{quote(key, safe="/")}'
+
+
+class HttpInstances:
+    """The instance list over HTTP."""
+
+    def __init__(
+        self, *, pool: httpcore.AsyncConnectionPool, base: str
+    ) -> None:
+        """Call through a pool of connections."""
+        self._pool = pool
+        self._url = f'{base}/instances'
+
+    async def list(self) -> list[Instance]:
+        """Return the list."""
+        reply = await _ask(self._pool, 'GET', self._url)
+        return msgspec.json.decode(reply.body, type=list[Instance])
+
+
+class HttpWorkers:
+    """The workers over HTTP, with a pool of connections for each."""
+
+    def __init__(self) -> None:
+        """Start without connections."""
+        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    async def seal(self, *, instance: Instance, seal: Seal) -> SyncAnswer:
+        """Seal a worker."""
+        return await self._exchange(instance, 'seal', seal)
+
+    async def sync(self, *, instance: Instance, sync: Sync) -> SyncAnswer:
+        """Exchange commands and reports."""
+        return await self._exchange(instance, 'sync', sync)
+
+    async def watch(self, *, instance: Instance, watch: Watch) -> SyncAnswer:
+        """Wait for ends."""
+        return await self._exchange(instance, 'watch', watch)
+
+    async def lookup(self, *, instance: Instance, lookup: Lookup) -> str:
+        """Run a lookup."""
+        reply = await self._ask(instance, 'lookup', lookup)
+        return msgspec.json.decode(reply.body, type=wire.LookupReply).answer
+
+    async def _exchange(
+        self, instance: Instance, verb: str, request: Any
+    ) -> SyncAnswer:
+        reply = await self._ask(instance, verb, request)
+        return msgspec.json.decode(reply.body, type=SyncAnswer)
+
+    async def _ask(self, instance: Instance, verb: str, request: Any) -> _Reply:
+        pool = self._pool(instance.address)
+        url = f'http://{instance.address}/v1/workers/{instance.id}/{verb}'
+        try:
+            reply = await _call(
+                pool,
+                'POST',
+                url,
+                msgspec.json.encode(request),
+            )
+        except _UNREACHABLE as error:
+            raise WorkerSilentError(worker=instance.id) from error
+        if reply.status == wire.HTTP_GONE:
+            refusal = msgspec.json.decode(reply.body, type=wire.RefusalReply)
+            raise WorkerRefusedError(
+                worker=instance.id,
+                reason=refusal.reason,
+            )
+        if reply.status != wire.HTTP_OK:
+            raise WorkerSilentError(worker=instance.id)
+        return reply
+
+    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=_WORKER_CONNECTIONS,
+                keepalive_expiry=_KEEP_ALIVE_S,
+            )
+            self._pools[address] = pool
+        return pool
--- /dev/null
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/worker.py
@@ -0,0 +1,298 @@
+"""A stand-in for one worker: capacity, lease, slots and tasks."""
+
+import enum
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.errors import WorkerRefusedError, WorkerSilentError
+from cyclamentrack.ids import AttemptId, BootId, Epoch
+from cyclamentrack.ports import (
+    AttemptPhase,
+    AttemptReport,
+    Instance,
+    Lookup,
+    Seal,
+    StartCommand,
+    Sync,
+    SyncAnswer,
+    Watch,
+)
+from cyclamentrack.resources import NOTHING, Resources
+from cyclamentrack.work import Outcome
+from cyclamentrack_standins.recorder import Recorder
+
+_LINGER_S = 0.01
+_LOOKUP_S = 0.004
+
+
+class WorkerMode(enum.Enum):
+    """How a worker behaves."""
+
+    HEALTHY = 'healthy'
+    FAILS_ALL = 'fails-all'
+    SILENT = 'silent'
+
+
+class _Attempt(msgspec.Struct, kw_only=True, eq=False):
+    command: StartCommand
+    phase: AttemptPhase
+    scope: trio.CancelScope
+    outcome: Outcome = Outcome.SUCCEEDED
+    answer: str = ''
+    sequence: int = 0
+
+
+class StandinWorker:
+    """Runs tasks by sleeping; counts what it should never be asked."""
+
+    def __init__(
+        self,
+        *,
+        instance: Instance,
+        recorder: Recorder,
+        nursery: trio.Nursery,
+        real_run_s: Callable[[StartCommand], float] | None = None,
+        lease_s: float = defaults.WORKER_LEASE_S,
+    ) -> None:
+        """``real_run_s`` tells how long a task takes, if not as declared."""
+        self.instance = instance
+        self.mode = WorkerMode.HEALTHY
+        self.leaving = False
+        self.starts_after_leaving = 0
+        self._recorder = recorder
+        self._nursery = nursery
+        self._real_run_s = real_run_s or _declared
+        self._lease_s = lease_s
+        self._boots = 0
+        self._reset()
+
+    @property
+    def used(self) -> Resources:
+        """What running tasks and lookups hold now."""
+        used = NOTHING
+        for entry in self._attempts.values():
+            if entry.phase is AttemptPhase.RUNNING:
+                used = used.plus(entry.command.resources)
+        for held in self._lookups.values():
+            used = used.plus(held)
+        return used
+
+    def reboot(self) -> None:
+        """Restart: everything that ran is gone and forgotten."""
+        self._kill_all()
+        self._reset()
+
+    async def seal(self, seal: Seal) -> SyncAnswer:
+        """Refuse lower epochs from now on; report everything."""
+        self._answer_or_not()
+        self._lapse()
+        if (seal.epoch, seal.number) <= (self._epoch, self._number):
+            raise self._refusal(f'epoch {self._epoch} is in force')
+        self._epoch = seal.epoch
+        self._number = seal.number
+        reports = [_report(entry) for entry in self._attempts.values()]
+        return self._answered(reports)
+
+    async def sync(self, sync: Sync) -> SyncAnswer:
+        """Renew the lease and carry out commands."""
+        self._answer_or_not()
+        self._lapse()
+        self._check(sync.epoch, sync.token)
+        if sync.number <= self._number:
+            raise self._refusal('the exchange came late')
+        self._number = sync.number
+        self._lease_until = max(
+            self._lease_until,
+            sync.token + self._lease_s,
+        )
+        for attempt in sync.forgets:
+            self._forget(attempt)
+        reports = [self._start(command) for command in sync.starts]
+        reports.extend(self._stop(attempt) for attempt in sync.stops)
+        return self._answered([one for one in reports if one is not None])
+
+    async def watch(self, watch: Watch) -> SyncAnswer:
+        """Wait for ends after the cursor."""
+        self._answer_or_not()
+        with trio.move_on_after(watch.wait_s):
+            while self._sequence <= watch.cursor:
+                await self._ended.wait()
+            await trio.sleep(_LINGER_S)
+        self._answer_or_not()
+        if watch.epoch != self._epoch:
+            raise self._refusal(f'epoch {self._epoch} is in force')
+        return self._answered(
+            [
+                _report(entry)
+                for entry in self._attempts.values()
+                if entry.phase is AttemptPhase.ENDED
+                and entry.sequence > watch.cursor
+            ],
+        )
+
+    async def lookup(self, lookup: Lookup) -> str:
+        """Answer a quick request on a slot."""
+        self._answer_or_not()
+        self._check(lookup.epoch, lookup.token)
+        key = AttemptId(lookup.id)
+        if key in self._sealed:
+            raise self._refusal('the lookup was sealed')
+        full = len(self._lookups) >= self.instance.slots
+        if full or not self._has_room(lookup.resources):
+            self._recorder.overcommits += 1
+            raise self._refusal('no slot is free')
+        self._lookups[key] = lookup.resources
+        try:
+            await trio.sleep(_LOOKUP_S)
+        finally:
+            self._lookups.pop(key, None)
+        self._answer_or_not()
+        self._recorder.lookups += 1
+        return f'answer to {lookup.payload}'
+
+    async def enforce_lease(self) -> None:
+        """Stop all tasks whenever the lease has lapsed."""
+        while True:
+            await trio.sleep(self._lease_s / 10)
+            self._lapse()
+
+    def _reset(self) -> None:
+        self._boots += 1
+        self._boot = BootId(f'{self.instance.id}-{self._boots}')
+        self._epoch = Epoch(0)
+        self._number = 0
+        self._lease_until = float('-inf')
+        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._sealed: set[AttemptId] = set()
+        self._lookups: dict[AttemptId, Resources] = {}
+        self._sequence = 0
+        self._ended = trio.Event()
+
+    def _answer_or_not(self) -> None:
+        if self.mode is WorkerMode.SILENT:
+            raise WorkerSilentError(worker=self.instance.id)
+
+    def _check(self, epoch: Epoch, token: float) -> None:
+        if epoch != self._epoch:
+            raise self._refusal(f'epoch {self._epoch} is in force')
+        if trio.current_time() - token > self._lease_s:
+            raise self._refusal('the token is out of date')
+
+    def _refusal(self, reason: str) -> WorkerRefusedError:
+        return WorkerRefusedError(worker=self.instance.id, reason=reason)
+
+    def _answered(self, reports: list[AttemptReport]) -> SyncAnswer:
+        return SyncAnswer(
+            boot=self._boot,
+            token=trio.current_time(),
+            cursor=self._sequence,
+            reports=reports,
+            leaving=self.leaving,
+        )
+
+    def _start(self, command: StartCommand) -> AttemptReport | None:
+        known = self._attempts.get(command.attempt)
+        if known is not None:
+            return _report(known)
+        if command.attempt in self._sealed:
+            return _unstarted(command.attempt, AttemptPhase.SEALED)
+        if self.leaving:
+            self.starts_after_leaving += 1
+            return _unstarted(command.attempt, AttemptPhase.REFUSED)
+        if not self._has_room(command.resources):
+            self._recorder.overcommits += 1
+            return _unstarted(command.attempt, AttemptPhase.REFUSED)
+        entry = _Attempt(
+            command=command,
+            phase=AttemptPhase.RUNNING,
+            scope=trio.CancelScope(),
+        )
+        self._attempts[command.attempt] = entry
+        self._recorder.started(self.instance.id, command.attempt)
+        self._nursery.start_soon(self._execute, entry)
+        return None
+
+    async def _execute(self, entry: _Attempt) -> None:
+        with entry.scope:
+            if self.mode is WorkerMode.FAILS_ALL:
+                await trio.sleep(_LOOKUP_S)
+                self._end(entry, Outcome.FAILED, 'exit status 1')
+                return
+            await trio.sleep(self._real_run_s(entry.command))
+            failed = entry.command.payload.startswith('fail')
+            outcome = Outcome.FAILED if failed else Outcome.SUCCEEDED
+            self._end(entry, outcome, f'done {entry.command.attempt}')
+
+    def _stop(self, attempt: AttemptId) -> AttemptReport:
+        known = self._attempts.get(attempt)
+        if known is None:
+            if attempt in self._lookups:
+                return AttemptReport(
+                    attempt=attempt,
+                    phase=AttemptPhase.RUNNING,
+                    resources=self._lookups[attempt],
+                )
+            self._sealed.add(attempt)
+            return _unstarted(attempt, AttemptPhase.SEALED)
+        if known.phase is AttemptPhase.RUNNING:
+            self._end(known, Outcome.STOPPED, 'stopped')
+        return _report(known)
+
+    def _end(self, entry: _Attempt, outcome: Outcome, answer: str) -> None:
+        if entry.phase is not AttemptPhase.RUNNING:
+            return
+        entry.phase = AttemptPhase.ENDED
+        entry.outcome = outcome
+        entry.answer = answer
+        self._sequence += 1
+        entry.sequence = self._sequence
+        entry.scope.cancel()
+        self._recorder.ended(
+            self.instance.id,
+            entry.command.attempt,
+            completed=outcome is Outcome.SUCCEEDED,
+        )
+        self._ended.set()
+        self._ended = trio.Event()
+
+    def _forget(self, attempt: AttemptId) -> None:
+        known = self._attempts.get(attempt)
+        if known is not None and known.phase is AttemptPhase.ENDED:
+            self._attempts.pop(attempt)
+
+    def _lapse(self) -> None:
+        if trio.current_time() >= self._lease_until:
+            self._kill_all()
+
+    def _kill_all(self) -> None:
+        for entry in self._attempts.values():
+            self._end(entry, Outcome.STOPPED, 'the lease lapsed')
+
+    def _has_room(self, need: Resources) -> bool:
+        return self.used.plus(need).fits(self.instance.capacity)
+
+
+def _declared(command: StartCommand) -> float:
+    return command.run_s
+
+
+def _report(entry: _Attempt) -> AttemptReport:
+    return AttemptReport(
+        attempt=entry.command.attempt,
+        phase=entry.phase,
+        resources=entry.command.resources,
+        outcome=entry.outcome,
+        answer=entry.answer,
+    )
+
+
+def _unstarted(attempt: AttemptId, phase: AttemptPhase) -> AttemptReport:
+    return AttemptReport(
+        attempt=attempt,
+        phase=phase,
+        resources=NOTHING,
+        outcome=Outcome.NEVER,
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/admission.py
@@ -0,0 +1,203 @@
+"""Admission: what is refused at once, and why.
+
+Work that no worker could ever hold is refused with what would make it
+possible. Work that would wait too long is refused with the time after which
+a retry makes sense. The wait is predicted from the declared processor time
+that waits at the same or a higher urgency.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from cyclamentrack import defaults
+from cyclamentrack.errors import ErrorKind, Problem, Ran
+from cyclamentrack.ids import PoolName
+from cyclamentrack.ports import Instance
+from cyclamentrack.queue import WorkQueue
+from cyclamentrack.resources import NOTHING, Resources
+from cyclamentrack.tickets import Configuration
+from cyclamentrack.work import Kind, Urgency, Work
+
+_RETRY_MIN_S = 1.0
+_URGENCIES = list(Urgency)
+
+
+class PoolCapacity(msgspec.Struct, frozen=True, kw_only=True):
+    """What a pool's listed workers have, in total and by worker type."""
+
+    total: Resources
+    types: frozenset[Resources]
+
+
+def capacities(instances: list[Instance]) -> dict[PoolName, PoolCapacity]:
+    """Return the capacity of each pool in the instance list."""
+    totals: dict[PoolName, Resources] = {}
+    types: dict[PoolName, set[Resources]] = {}
+    for instance in instances:
+        before = totals.get(instance.pool, NOTHING)
+        totals[instance.pool] = before.plus(instance.capacity)
+        types.setdefault(instance.pool, set()).add(instance.capacity)
+    return {
+        pool: PoolCapacity(total=total, types=frozenset(types[pool]))
+        for pool, total in totals.items()
+    }
+
+
+class Admission:
+    """Decides whether work is taken on."""
+
+    def __init__(
+        self,
+        *,
+        queue: WorkQueue,
+        configuration: Configuration,
+        own_share: Callable[[], float],
+    ) -> None:
+        """``own_share`` is the fraction of the cell that this daemon owns."""
+        self._queue = queue
+        self._configuration = configuration
+        self._own_share = own_share
+        self._pools: dict[PoolName, PoolCapacity] = {}
+
+    @property
+    def pools(self) -> dict[PoolName, PoolCapacity]:
+        """The capacity of each pool."""
+        return self._pools
+
+    def take_list(self, instances: list[Instance]) -> None:
+        """Learn the cell's capacity from the instance list."""
+        self._pools = capacities(instances)
+
+    def total(self) -> Resources:
+        """Return the capacity of the whole cell."""
+        total = NOTHING
+        for capacity in self._pools.values():
+            total = total.plus(capacity.total)
+        return total
+
+    def refuse(self, work: Work) -> Problem | None:
+        """Return why work is refused, or ``None`` when it is admitted."""
+        return (
+            self._refuse_malformed(work)
+            or self._refuse_impossible(work)
+            or self._refuse_quota(work)
+            or self._refuse_crowd(work)
+        )
+
+    def predicted_wait_s(self, urgency: Urgency) -> float:
+        """Return how long work of an urgency would wait, in seconds."""
+        ahead = _URGENCIES[: _URGENCIES.index(urgency) + 1]
+        demand_s = sum(self._queue.demand_s(level) for level in ahead)
+        cores = self.total().milli_cores / 1000 * self._own_share()
+        return demand_s / cores if cores else 0
+
+    def _refuse_malformed(self, work: Work) -> Problem | None:
+        if work.kind is not Kind.LOOKUP:
+            return None
+        if work.idempotent and work.tasks == 1:
+            return None
+        return Problem(
+            kind=ErrorKind.INVALID,
+            detail=f'lookup {work.id} is not idempotent or has several tasks',
+            remedy='use kind "batch" and wait for it, or mark it idempotent',
+        )
+
+    def _refuse_impossible(self, work: Work) -> Problem | None:
+        capacity = self._pools.get(work.pool)
+        if capacity is None:
+            return self._unknown_pool(work)
+        if not any(work.resources.fits(kind) for kind in capacity.types):
+            return Problem(
+                kind=ErrorKind.IMPOSSIBLE,
+                detail=f'no worker of pool {work.pool} could hold a task',
+                remedy=f'ask at most {_describe(capacity.types)} per task',
+            )
+        if work.kind is Kind.GANG:
+            return _refuse_large_gang(work, capacity)
+        return None
+
+    def _unknown_pool(self, work: Work) -> Problem:
+        if not self._pools:
+            return Problem(
+                kind=ErrorKind.OVERLOADED,
+                detail='the instance list has not been read yet',
+                remedy='send it again after the time given',
+                retry_after_s=_RETRY_MIN_S,
+            )
+        names = ', '.join(sorted(self._pools))
+        return Problem(
+            kind=ErrorKind.IMPOSSIBLE,
+            detail=f'there is no pool {work.pool}',
+            remedy=f'use one of: {names}',
+        )
+
+    def _refuse_quota(self, work: Work) -> Problem | None:
+        quota = self._configuration.quota(work.team)
+        if quota is None:
+            return None
+        asked = work.resources
+        if work.kind is Kind.GANG:
+            asked = _times(asked, work.tasks)
+        if asked.fits(quota):
+            return None
+        return Problem(
+            kind=ErrorKind.QUOTA,
+            detail=f'{work.id} asks more than the quota of team {work.team}',
+            remedy=f'ask at most {_describe(frozenset((quota,)))}',
+        )
+
+    def _refuse_crowd(self, work: Work) -> Problem | None:
+        if len(self._queue) >= defaults.QUEUE_WORKS:
+            return _crowded(
+                work,
+                f'{len(self._queue)} works wait already',
+                _RETRY_MIN_S,
+            )
+        limit_s = self._configuration.wait_limit_s(work.urgency)
+        if work.deadline_s is not None:
+            limit_s = min(limit_s, work.deadline_s)
+        wait_s = self.predicted_wait_s(work.urgency)
+        if wait_s <= limit_s:
+            return None
+        return _crowded(
+            work,
+            f'it would wait about {wait_s:.0f} s',
+            wait_s - limit_s,
+        )
+
+
+def _crowded(work: Work, reason: str, retry_s: float) -> Problem:
+    return Problem(
+        kind=ErrorKind.OVERLOADED,
+        detail=f'{work.id} of urgency {work.urgency.value}: {reason}',
+        remedy='send it again after the time given',
+        ran=Ran.NO,
+        retry_after_s=max(retry_s, _RETRY_MIN_S),
+    )
+
+
+def _refuse_large_gang(work: Work, capacity: PoolCapacity) -> Problem | None:
+    if _times(work.resources, work.tasks).fits(capacity.total):
+        return None
+    return Problem(
+        kind=ErrorKind.IMPOSSIBLE,
+        detail=f'pool {work.pool} could never hold all of {work.id} at once',
+        remedy='use fewer or smaller tasks, or kind "batch"',
+    )
+
+
+def _times(amount: Resources, count: int) -> Resources:
+    return Resources(
+        milli_cores=amount.milli_cores * count,
+        memory_mib=amount.memory_mib * count,
+        accelerators=amount.accelerators * count,
+    )
+
+
+def _describe(amounts: frozenset[Resources]) -> str:
+    return ' or '.join(
+        f'{amount.milli_cores} milli-cores, {amount.memory_mib} MiB and '
+        f'{amount.accelerators} accelerators'
+        for amount in sorted(amounts, key=lambda one: one.milli_cores)
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/audit.py
@@ -0,0 +1,155 @@
+"""The audit trail: who changed what, when, and with which outcome.
+
+Entries are appended in batches to the object store. Noting an entry never
+waits; while the store is out the buffer is bounded, and what it can't hold is
+counted as dropped.
+"""
+
+import enum
+import logging
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.errors import StoreUncertainError
+from cyclamentrack.ids import DaemonId, Incarnation
+from cyclamentrack.ports import ObjectStore
+
+_log = logging.getLogger(__name__)
+
+
+class AuditKind(enum.Enum):
+    """What an entry is about."""
+
+    TICKET = 'ticket'
+    OWNERSHIP = 'ownership'
+    WORK = 'work'
+    REFUSAL = 'refusal'
+    WORKER = 'worker'
+
+
+class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """One entry; ``at`` is the daemon's wall clock in seconds."""
+
+    at: float
+    daemon: DaemonId
+    number: int
+    kind: AuditKind
+    subject: str
+    event: str
+    by: str = ''
+    detail: str = ''
+
+
+class _Batch(msgspec.Struct, frozen=True, kw_only=True):
+    entries: list[AuditEntry]
+
+
+class Audit:
+    """Writes this daemon's entries and reads all daemons' entries."""
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        daemon: DaemonId,
+        incarnation: Incarnation,
+        wall_clock: Callable[[], float],
+    ) -> None:
+        """Start with an empty buffer."""
+        self._store = store
+        self._daemon = daemon
+        self._incarnation = incarnation
+        self._wall_clock = wall_clock
+        self._buffer: deque[AuditEntry] = deque()
+        self._noted = 0
+        self._batches = 0
+        self.dropped = 0
+
+    def note(
+        self,
+        kind: AuditKind,
+        subject: str,
+        event: str,
+        *,
+        by: str = '',
+        detail: str = '',
+    ) -> None:
+        """Add an entry to the buffer."""
+        if len(self._buffer) >= defaults.AUDIT_BUFFER:
+            self.dropped += 1
+            return
+        self._noted += 1
+        self._buffer.append(
+            AuditEntry(
+                at=self._wall_clock(),
+                daemon=self._daemon,
+                number=self._noted,
+                kind=kind,
+                subject=subject,
+                event=event,
+                by=by,
+                detail=detail,
+            ),
+        )
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        while True:
+            await trio.sleep(defaults.AUDIT_FLUSH_S)
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Write what is buffered; on an outage it stays buffered."""
+        entries = list(self._buffer)
+        if not entries:
+            return
+        first = int(entries[0].at)
+        key = (
+            f'audit/{first:012d}/{self._daemon}/{self._incarnation}/'
+            f'{self._batches:08d}'
+        )
+        try:
+            await self._store.put(
+                key=key,
+                body=encode(_Batch(entries=entries)),
+            )
+        except StoreUncertainError:
+            _log.info('audit entries stay buffered: no object store')
+            return
+        self._batches += 1
+        for _ in entries:
+            self._buffer.popleft()
+
+    async def read(
+        self, *, subject: str = '', since: float = 0, limit: int = 1000
+    ) -> list[AuditEntry]:
+        """Return entries of all daemons in order of time."""
+        await self.flush()
+        floor = f'audit/{max(int(since) - 60, 0):012d}'
+        names = await self._store.names(prefix='audit/')
+        found: list[AuditEntry] = []
+        for name in names:
+            if name < floor:
+                continue
+            body = await self._store.fetch(key=name)
+            if body is not None:
+                found.extend(_matching(body, subject, since))
+        unique = {
+            (entry.daemon, entry.number, entry.at): entry for entry in found
+        }
+        ordered = sorted(unique.values(), key=lambda entry: entry.at)
+        return ordered[-limit:]
+
+
+def _matching(body: bytes, subject: str, since: float) -> list[AuditEntry]:
+    batch = decode(body, _Batch)
+    return [
+        entry
+        for entry in batch.entries
+        if entry.at >= since and (not subject or entry.subject == subject)
+    ]
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/coordinator.py
@@ -0,0 +1,384 @@
+"""The owner's side of a work's life: accept, show, cancel, end."""
+
+import logging
+from collections.abc import Callable, Iterator
+
+import msgspec
+import trio
+
+from cyclamentrack.admission import Admission
+from cyclamentrack.audit import Audit, AuditKind
+from cyclamentrack.book import WorkRecord
+from cyclamentrack.dispatch import Dispatcher
+from cyclamentrack.errors import ErrorKind, Problem, Ran
+from cyclamentrack.events import Cancelled, Ended
+from cyclamentrack.ids import AttemptId, PartitionId, WorkId, split_attempt
+from cyclamentrack.membership import Membership
+from cyclamentrack.messages import Settlement, Site
+from cyclamentrack.metrics import Metrics
+from cyclamentrack.settle import Settler
+from cyclamentrack.usage import Usage
+from cyclamentrack.waits import Waits
+from cyclamentrack.work import Answer, Kind, Outcome, Work
+from cyclamentrack.works import Works
+
+_log = logging.getLogger(__name__)
+
+_DEADLINE_CHECK_S = 0.5
+
+
+class _Deadline(msgspec.Struct, frozen=True, kw_only=True):
+    record: WorkRecord
+    at: float
+
+
+class Coordinator:
+    """Serves the works of the partitions that this daemon owns."""
+
+    def __init__(
+        self,
+        *,
+        works: Works,
+        dispatcher: Dispatcher,
+        settler: Settler,
+        admission: Admission,
+        membership: Membership,
+        usage: Usage,
+        metrics: Metrics,
+        waits: Waits,
+        audit: Audit,
+    ) -> None:
+        """Serve through the given stages."""
+        self._works = works
+        self._dispatcher = dispatcher
+        self._settler = settler
+        self._admission = admission
+        self._membership = membership
+        self._usage = usage
+        self._metrics = metrics
+        self._waits = waits
+        self._audit = audit
+        self._deadlines: dict[WorkId, _Deadline] = {}
+
+    async def run(self) -> None:
+        """Cancel works whose deadline for a first start has passed."""
+        while True:
+            await trio.sleep(_DEADLINE_CHECK_S)
+            now = trio.current_time()
+            late = [
+                entry for entry in self._deadlines.values() if entry.at <= now
+            ]
+            for entry in late:
+                self._expire(entry.record)
+
+    def recover(self, partition: PartitionId) -> None:
+        """Go on with the works of a partition that was taken over."""
+        for record in self._works.book(partition).records():
+            if record.final:
+                continue
+            self._usage.restore(record)
+            self._watch_deadline(record)
+            for attempt, task in record.placed():
+                if task.site is not None:
+                    self._settler.ask(
+                        attempt,
+                        task.site,
+                        stop=_is_unwanted(record),
+                    )
+            self._dispatcher.offer(record)
+
+    def ask_about(
+        self,
+        partitions: set[PartitionId],
+        rack_partition: Callable[[str], PartitionId],
+    ) -> None:
+        """Ask about attempts on workers of partitions with new owners."""
+        for record, attempt, site in self._placed_attempts():
+            if rack_partition(site.rack) in partitions:
+                self._settler.ask(attempt, site, stop=_is_unwanted(record))
+
+    def release(self, partition: PartitionId) -> None:
+        """Let go of the works of a partition."""
+        for record in self._works.book(partition).records():
+            self._usage.drop(record)
+            self._deadlines.pop(record.work.id, None)
+            self._waits.drop(record.work.id)
+
+    # Callers
+
+    async def submit(
+        self, works: list[Work], deadline_s: float
+    ) -> list[Answer]:
+        """Accept works; each answer comes once its accept is durable.
+
+        An accept that can't be made durable within ``deadline_s`` is taken
+        back, or, where it was sent already, answered as unknown.
+        """
+        fresh: dict[WorkId, int] = {}
+        problems: dict[WorkId, Problem] = {}
+        for work in works:
+            problem = self._take(work, fresh)
+            if problem is not None:
+                problems[work.id] = problem
+        until = trio.current_time() + deadline_s
+        return [
+            await self._answer(work, problems.get(work.id), fresh, until)
+            for work in works
+        ]
+
+    async def show(self, work: WorkId, wait_s: float) -> Answer:
+        """Return a work's state, waiting up to ``wait_s`` for its end."""
+        with trio.move_on_after(wait_s):
+            while not self._is_final(work):
+                await self._works.changed(work)
+        record = self._works.find(work)
+        if record is None:
+            return Answer(id=work, problem=self._absent(work))
+        return await self._durable_view(record)
+
+    async def cancel(self, works: list[WorkId], reason: str) -> list[Answer]:
+        """Cancel works; what waits is called off, what runs is stopped."""
+        for work in works:
+            record = self._works.find(work)
+            if record is not None and not record.final:
+                self._cancel(record, reason)
+        return [await self.show(work, 0) for work in works]
+
+    # Ends
+
+    def take_ends(self, settlements: list[Settlement]) -> list[AttemptId]:
+        """Journal ends of attempts; return those whose works are here."""
+        here: list[AttemptId] = []
+        for entry in settlements:
+            work, index, number = split_attempt(entry.attempt)
+            if not self._works.owns(work):
+                continue
+            here.append(entry.attempt)
+            record = self._works.log(
+                Ended(
+                    work=work,
+                    task=index,
+                    attempt=number,
+                    outcome=entry.outcome,
+                    answer=entry.answer,
+                ),
+            )
+            self._usage.release(entry.attempt)
+            if record is not None:
+                self._go_on(record, entry)
+        return here
+
+    async def keep_ends(self, settlements: list[Settlement]) -> list[AttemptId]:
+        """Journal ends and return them once they are durable."""
+        here = self.take_ends(settlements)
+        for attempt in here:
+            record = self._works.find(split_attempt(attempt)[0])
+            if record is not None:
+                await self._works.settle(record)
+        return [
+            attempt
+            for attempt in here
+            if self._works.owns(split_attempt(attempt)[0])
+        ]
+
+    def _go_on(self, record: WorkRecord, entry: Settlement) -> None:
+        """Decide what follows from an end."""
+        if record.final:
+            self._finish(record)
+            return
+        if record.work.kind is Kind.GANG and _is_unwanted(record):
+            self._stop_placed(record)
+        self._dispatcher.offer(record)
+
+    def _finish(self, record: WorkRecord) -> None:
+        work = record.work.id
+        self._deadlines.pop(work, None)
+        self._waits.drop(work)
+        self._dispatcher.offer(record)
+        self._metrics.count(f'works_{record.stage.name.lower()}')
+        self._audit.note(
+            AuditKind.WORK,
+            work,
+            record.stage.value,
+            detail=record.reason,
+        )
+
+    # Accepting
+
+    def _take(self, work: Work, fresh: dict[WorkId, int]) -> Problem | None:
+        """Take one work on; a problem says why it was not."""
+        known = self._works.find(work.id)
+        if known is not None:
+            return None if known.work == work else _reused(work)
+        problem = self._admission.refuse(work)
+        if problem is not None:
+            self._metrics.count(f'refused_{problem.kind.name.lower()}')
+            self._audit.note(
+                AuditKind.REFUSAL,
+                work.id,
+                problem.kind.value,
+                by=work.team,
+                detail=problem.detail,
+            )
+            return self._hedge(problem)
+        record = self._works.accept(work)
+        if record is None:
+            return _not_owner(work.id)
+        fresh[work.id] = record.position
+        self._waits.begin(work)
+        self._watch_deadline(record)
+        self._dispatcher.offer(record)
+        return None
+
+    def _hedge(self, problem: Problem) -> Problem:
+        """Say "not run" only while no successor can have run the work."""
+        if self._membership.valid or problem.ran is not Ran.NO:
+            return problem
+        return msgspec.structs.replace(problem, ran=Ran.UNKNOWN)
+
+    async def _answer(
+        self,
+        work: Work,
+        problem: Problem | None,
+        fresh: dict[WorkId, int],
+        until: float,
+    ) -> Answer:
+        if problem is not None:
+            return Answer(id=work.id, problem=problem)
+        record = self._works.find(work.id)
+        if record is None:
+            return Answer(id=work.id, problem=_not_owner(work.id))
+        with trio.move_on_at(until):
+            answer = await self._durable_view(record)
+            if work.id in fresh:
+                self._note_accept(work)
+            return answer
+        return Answer(id=work.id, problem=self._late(record, fresh))
+
+    def _note_accept(self, work: Work) -> None:
+        self._metrics.count('accepted')
+        self._audit.note(AuditKind.WORK, work.id, 'accepted', by=work.team)
+
+    def _late(self, record: WorkRecord, fresh: dict[WorkId, int]) -> Problem:
+        """Answer an accept that the table service has not confirmed."""
+        work = record.work.id
+        position = fresh.get(work)
+        if position is not None and self._works.withdraw(record, position):
+            self._deadlines.pop(work, None)
+            self._dispatcher.withdraw(work)
+            return self._hedge(_store_down(work, Ran.NO))
+        return _store_down(work, Ran.UNKNOWN)
+
+    async def _durable_view(self, record: WorkRecord) -> Answer:
+        """Return a view once all that it shows is durable."""
+        work = record.work.id
+        while True:
+            view = record.view()
+            position = record.position
+            await self._works.settle_position(position)
+            if self._works.find(work) is not record:
+                return Answer(id=work, problem=_not_owner(work))
+            if record.position == position:
+                return Answer(id=work, view=view)
+
+    # Ending
+
+    def _cancel(self, record: WorkRecord, reason: str) -> None:
+        self._works.log(Cancelled(work=record.work.id, reason=reason))
+        self._audit.note(
+            AuditKind.WORK,
+            record.work.id,
+            'cancel',
+            detail=reason,
+        )
+        self._stop_placed(record)
+        if record.final:
+            self._finish(record)
+        else:
+            self._dispatcher.offer(record)
+
+    def _expire(self, record: WorkRecord) -> None:
+        """Cancel a work that never started before its deadline."""
+        self._deadlines.pop(record.work.id, None)
+        if record.final or record.started or not self._membership.valid:
+            return
+        if any(True for _ in record.placed()):
+            return
+        self._cancel(record, 'its deadline for a start has passed')
+
+    def _stop_placed(self, record: WorkRecord) -> None:
+        for attempt, task in record.placed():
+            if task.site is not None:
+                self._settler.ask(attempt, task.site, stop=True)
+
+    def _watch_deadline(self, record: WorkRecord) -> None:
+        """Count a deadline from now; after a takeover it counts anew."""
+        deadline_s = record.work.deadline_s
+        if deadline_s is not None and not record.started:
+            self._deadlines[record.work.id] = _Deadline(
+                record=record,
+                at=trio.current_time() + deadline_s,
+            )
+
+    def _placed_attempts(
+        self,
+    ) -> Iterator[tuple[WorkRecord, AttemptId, Site]]:
+        for book in self._works.books():
+            for record in book.records():
+                for attempt, task in record.placed():
+                    if task.site is not None:
+                        yield record, attempt, task.site
+
+    def _is_final(self, work: WorkId) -> bool:
+        record = self._works.find(work)
+        return record is None or record.final
+
+    def _absent(self, work: WorkId) -> Problem:
+        if not self._works.owns(work):
+            return _not_owner(work)
+        return Problem(
+            kind=ErrorKind.NOT_FOUND,
+            detail=f'there is no work {work}',
+            remedy='check the id; works that ended long ago are dropped',
+            ran=Ran.UNKNOWN,
+        )
+
+
+def _is_unwanted(record: WorkRecord) -> bool:
+    """Tell whether what still runs of a work should be stopped."""
+    if record.cancelled:
+        return True
+    if record.work.kind is not Kind.GANG:
+        return False
+    return any(
+        task.outcome not in {None, Outcome.SUCCEEDED} for task in record.tasks
+    )
+
+
+def _reused(work: Work) -> Problem:
+    return Problem(
+        kind=ErrorKind.ID_REUSED,
+        detail=f'id {work.id} is in use for work with another content',
+        remedy='choose a new id for new work',
+        ran=Ran.NO,
+    )
+
+
+def _not_owner(work: WorkId) -> Problem:
+    return Problem(
+        kind=ErrorKind.NO_OWNER,
+        detail=f'work {work} moved to another daemon meanwhile',
+        remedy='send it again with the same id, which never runs it twice',
+        ran=Ran.UNKNOWN,
+        retry_after_s=1,
+    )
+
+
+def _store_down(work: WorkId, ran: Ran) -> Problem:
+    return Problem(
+        kind=ErrorKind.STORE_DOWN,
+        detail=f'work {work} could not be put on record in time',
+        remedy='send it again with the same id, which never runs it twice',
+        ran=ran,
+        retry_after_s=1,
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/events.py
@@ -0,0 +1,59 @@
+"""Events of a work's life, as the journal keeps them."""
+
+import msgspec
+
+from cyclamentrack.ids import WorkId
+from cyclamentrack.messages import Site
+from cyclamentrack.work import Outcome, Work
+
+
+class Accepted(msgspec.Struct, frozen=True, kw_only=True, tag='accepted'):
+    """Work was taken on; from here on it never vanishes."""
+
+    work: Work
+
+
+class PlacedTask(msgspec.Struct, frozen=True, array_like=True):
+    """One task of an intent: its index, attempt number and site."""
+
+    task: int
+    attempt: int
+    site: Site
+
+
+class Placed(msgspec.Struct, frozen=True, kw_only=True, tag='placed'):
+    """Intent to start attempts; committed before any start is sent."""
+
+    work: WorkId
+    tasks: list[PlacedTask]
+
+
+class Ended(msgspec.Struct, frozen=True, kw_only=True, tag='ended'):
+    """An attempt ended."""
+
+    work: WorkId
+    task: int
+    attempt: int
+    outcome: Outcome
+    answer: str = ''
+
+
+class Cancelled(msgspec.Struct, frozen=True, kw_only=True, tag='cancelled'):
+    """The caller, an operator or a deadline called the work off."""
+
+    work: WorkId
+    reason: str
+
+
+Event = Accepted | Placed | Ended | Cancelled
+
+
+def work_of(event: Event) -> WorkId:
+    """Return the id of the work that an event belongs to."""
+    match event:
+        case Accepted(work=work):
+            return work.id
+        case Placed(work=work_id) | Ended(work=work_id):
+            return work_id
+        case Cancelled(work=work_id):
+            return work_id
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/fleet.py
@@ -0,0 +1,577 @@
+"""The workers of the partitions that this daemon owns.
+
+The fleet grants reservations, starts confirmed attempts, learns how they end
+and tells the owner of their work. What a worker runs is the worker's own
+word, given when it is sealed; nothing of the fleet is kept anywhere else.
+"""
+
+import logging
+from collections.abc import Callable
+from itertools import count
+
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.errors import (
+    ErrorKind,
+    Problem,
+    Ran,
+    StoreUncertainError,
+    WorkerRefusedError,
+    WorkerSilentError,
+)
+from cyclamentrack.health import Health
+from cyclamentrack.ids import (
+    AttemptId,
+    DaemonId,
+    Epoch,
+    PartitionId,
+    WorkerId,
+)
+from cyclamentrack.ledger import Ledger
+from cyclamentrack.messages import (
+    Confirm,
+    Confirmation,
+    Confirmed,
+    Grant,
+    LookupDone,
+    Need,
+    Reserve,
+    Reserved,
+    Revocation,
+    Revoke,
+    Settled,
+    Settlement,
+    Site,
+)
+from cyclamentrack.placement import place
+from cyclamentrack.ports import (
+    AttemptPhase,
+    AttemptReport,
+    Instance,
+    Instances,
+    InstanceState,
+    Lookup,
+    StartCommand,
+    Usage,
+    Workers,
+)
+from cyclamentrack.reservations import Reservation, ReservationBook
+from cyclamentrack.upstream import Upstream, UpstreamEvents, UpstreamState
+from cyclamentrack.work import Kind, Outcome, Work, partition_of
+
+_log = logging.getLogger(__name__)
+
+_EXPIRY_INTERVAL_S = 1.0
+_LOOKUP_MARK = '#lookup#'
+_LOST_AFTER_S = (
+    defaults.OUTAGE_GRACE_S
+    + defaults.WORKER_LEASE_S
+    + defaults.WORKER_LEASE_MARGIN_S
+)
+
+
+class Fleet:
+    """Ledger, reservations and conversations of the workers owned here."""
+
+    def __init__(
+        self,
+        *,
+        workers: Workers,
+        instances: Instances,
+        owner: DaemonId,
+        partitions: int,
+        room_changed: Callable[[], None],
+        listed: Callable[[list[Instance]], None],
+        may_renew: Callable[[], bool],
+        tombstones: bool = True,
+    ) -> None:
+        """Own no workers yet.
+
+        ``room_changed`` follows each release, and ``listed`` gets each new
+        instance list.
+        """
+        self._on_listed = listed
+        self._may_renew = may_renew
+        self._workers = workers
+        self._instances = instances
+        self._owner = owner
+        self._partitions = partitions
+        self._room_changed = room_changed
+        self._nursery: trio.Nursery | None = None
+        self._epochs: dict[PartitionId, Epoch] = {}
+        self._owned_since: dict[PartitionId, float] = {}
+        self._listed: dict[WorkerId, Instance] = {}
+        self._upstreams: dict[WorkerId, Upstream] = {}
+        self._started: dict[AttemptId, WorkerId] = {}
+        self._workloads: dict[AttemptId, str] = {}
+        self._ends: dict[AttemptId, Settlement] = {}
+        self._end_sites: dict[AttemptId, WorkerId] = {}
+        self._reservations = ReservationBook(tombstones=tombstones)
+        self._lookups = count(1)
+        self._lookups_running: dict[PartitionId, int] = {}
+        self.ledger = Ledger()
+        self.health = Health()
+        self.ends_changed = trio.Event()
+        self.lookups_late = 0
+
+    @property
+    def upstreams(self) -> list[Upstream]:
+        """The conversations with the workers owned here."""
+        return list(self._upstreams.values())
+
+    @property
+    def running(self) -> int:
+        """How many attempts run on the workers owned here."""
+        return len(self._started)
+
+    async def run(self) -> None:
+        """Follow the instance list and expire reservations."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._expire_forever)
+            while True:
+                await self._list_once()
+                await trio.sleep(defaults.INSTANCES_INTERVAL_S)
+
+    def take_on(self, partition: PartitionId, epoch: Epoch) -> None:
+        """Own a partition's workers from now on."""
+        self._epochs[partition] = epoch
+        self._owned_since[partition] = trio.current_time()
+        self._follow()
+
+    def close(self, partition: PartitionId) -> None:
+        """Place nothing more on a partition's workers, before it is let go."""
+        for worker, upstream in self._upstreams.items():
+            if self.partition(upstream.instance.rack) == partition:
+                upstream.leaving = True
+                self.ledger.close(worker)
+
+    def let_go(self, partition: PartitionId) -> None:
+        """Own a partition's workers no more."""
+        self._epochs.pop(partition, None)
+        self._owned_since.pop(partition, None)
+        for worker, upstream in list(self._upstreams.items()):
+            if self.partition(upstream.instance.rack) == partition:
+                self._drop(worker)
+
+    def partition(self, rack: str) -> PartitionId:
+        """Return the partition of a rack."""
+        return partition_of(rack, self._partitions)
+
+    def has_lookups(self, partition: PartitionId) -> bool:
+        """Tell whether lookups run on a partition's workers."""
+        return bool(self._lookups_running.get(partition))
+
+    # Reservations
+
+    def reserve(self, request: Reserve) -> Reserved:
+        """Hold room for as many needs as there is room for."""
+        if self._reservations.is_stale(request.origin):
+            return Reserved(grants=[])
+        needs = [need for need in request.needs if self._is_new(need.attempt)]
+        choices = place(self.ledger, needs, partial=request.partial)
+        grants = self._old_grants(request.needs)
+        for choice in choices:
+            self._reservations.grant(
+                need=choice.need,
+                site=choice.site,
+                origin=request.origin,
+            )
+            grants.append(
+                Grant(attempt=choice.need.attempt, site=choice.site),
+            )
+        return Reserved(grants=grants)
+
+    def confirm(self, request: Confirm) -> Confirmed:
+        """Start reserved attempts; return those that can't be started."""
+        stale = self._reservations.is_stale(request.origin)
+        refused = [
+            entry.attempt
+            for entry in request.confirmations
+            if stale or not self._start(entry, request)
+        ]
+        return Confirmed(refused=refused)
+
+    def revoke(self, request: Revoke) -> Settled:
+        """Tell what is known of attempts; stop or seal them if asked."""
+        ended: list[Settlement] = []
+        running: list[AttemptId] = []
+        if self._reservations.is_stale(request.origin):
+            return Settled(ended=[], running=[])
+        for entry in request.revocations:
+            known = self._settle(entry)
+            if known is not None:
+                ended.append(known)
+            elif entry.attempt in self._started:
+                running.append(entry.attempt)
+        return Settled(ended=ended, running=running)
+
+    # Ends
+
+    def ends(self) -> list[Settlement]:
+        """Return the ends that the owner of their work hasn't kept yet."""
+        return list(self._ends.values())
+
+    def forget(self, attempts: list[AttemptId]) -> None:
+        """Drop ends that are on record with the owner of their work."""
+        for attempt in attempts:
+            self._ends.pop(attempt, None)
+            worker = self._end_sites.pop(attempt, None)
+            upstream = self._upstreams.get(worker) if worker else None
+            if upstream is not None:
+                upstream.forget(attempt)
+
+    # Lookups
+
+    async def lookup(self, work: Work, timeout_s: float) -> LookupDone:
+        """Run a lookup on a worker owned here.
+
+        The slot of a lookup that got no answer stays taken until the worker
+        has said that it doesn't run.
+        """
+        key = AttemptId(f'{work.id}{_LOOKUP_MARK}{next(self._lookups)}')
+        need = Need(
+            attempt=key,
+            kind=Kind.LOOKUP,
+            pool=work.pool,
+            resources=work.resources,
+            run_s=work.run_s,
+        )
+        choices = place(self.ledger, [need])
+        if not choices:
+            return LookupDone(problem=no_slot(work))
+        worker = choices[0].site.worker
+        partition = self.partition(choices[0].site.rack)
+        self._count_lookup(partition, 1)
+        try:
+            answer = await self._ask(worker, key, work, timeout_s)
+        except (WorkerSilentError, WorkerRefusedError):
+            self._seal_lookup(worker, key)
+            return LookupDone(problem=_unanswered(work))
+        finally:
+            self._count_lookup(partition, -1)
+        self.ledger.release(key)
+        self._room_changed()
+        return LookupDone(answer=answer)
+
+    async def _ask(
+        self, worker: WorkerId, key: AttemptId, work: Work, timeout_s: float
+    ) -> str:
+        return await self._upstreams[worker].lookup(
+            key=key,
+            need=Lookup(
+                epoch=Epoch(0),
+                token=0,
+                id=key,
+                resources=work.resources,
+                payload=work.payload,
+            ),
+            timeout_s=timeout_s,
+        )
+
+    def _count_lookup(self, partition: PartitionId, change: int) -> None:
+        running = self._lookups_running.get(partition, 0) + change
+        self._lookups_running[partition] = running
+
+    def _seal_lookup(self, worker: WorkerId, key: AttemptId) -> None:
+        self.lookups_late += 1
+        upstream = self._upstreams.get(worker)
+        if upstream is not None and self.ledger.holder(key):
+            self._started[key] = worker
+            upstream.stop(key)
+
+    # Instances
+
+    async def _list_once(self) -> None:
+        try:
+            listed = await self._instances.list()
+        except StoreUncertainError:
+            _log.info('the instance list could not be read')
+            return
+        self._listed = {instance.id: instance for instance in listed}
+        self._on_listed(listed)
+        self._follow()
+
+    def _follow(self) -> None:
+        """Talk to the listed workers of the partitions that are owned."""
+        for instance in self._listed.values():
+            upstream = self._upstreams.get(instance.id)
+            if upstream is None:
+                self._adopt(instance)
+            elif instance.state is InstanceState.LEAVING:
+                upstream.leaving = True
+                self.ledger.close(instance.id)
+        for worker, upstream in list(self._upstreams.items()):
+            gone = worker not in self._listed
+            if gone and upstream.state is UpstreamState.LOST:
+                self._drop(worker)
+
+    def _adopt(self, instance: Instance) -> None:
+        epoch = self._epochs.get(self.partition(instance.rack))
+        if epoch is None or self._nursery is None:
+            return
+        upstream = Upstream(
+            workers=self._workers,
+            instance=instance,
+            epoch=epoch,
+            owner=self._owner,
+            events=UpstreamEvents(
+                sealed=self._on_sealed,
+                reported=self._on_reported,
+                used=self._on_used,
+                state_changed=self._on_state,
+            ),
+            lost_after_s=_LOST_AFTER_S,
+            may_renew=self._may_renew,
+        )
+        self._upstreams[instance.id] = upstream
+        self.ledger.add(instance, boot=upstream.boot)
+        self._nursery.start_soon(upstream.run)
+
+    def _drop(self, worker: WorkerId) -> None:
+        upstream = self._upstreams.pop(worker)
+        upstream.close()
+        for key in self.ledger.holds_on(worker):
+            self._started.pop(AttemptId(key), None)
+            self._reservations.take(AttemptId(key))
+        self.ledger.remove(worker)
+
+    # What workers say
+
+    def _on_sealed(
+        self, upstream: Upstream, reports: list[AttemptReport]
+    ) -> None:
+        """Compare a worker's full report with what should run there."""
+        worker = upstream.instance.id
+        row = self.ledger.row(worker)
+        if row is None:
+            return
+        rebooted = bool(row.boot) and row.boot != upstream.boot
+        reported = {report.attempt for report in reports}
+        for key in self.ledger.holds_on(worker):
+            attempt = AttemptId(key)
+            if attempt in reported or (_is_lookup(attempt) and not rebooted):
+                continue
+            self._reservations.take(attempt)
+            outcome = Outcome.LOST if rebooted else Outcome.NEVER
+            self._finish(attempt, worker, outcome)
+        row.boot = upstream.boot
+        self._on_reported(upstream, reports)
+
+    def _on_reported(
+        self, upstream: Upstream, reports: list[AttemptReport]
+    ) -> None:
+        worker = upstream.instance.id
+        if self._upstreams.get(worker) is not upstream:
+            return
+        for report in reports:
+            self._on_report(worker, report)
+        self._note_running(worker)
+
+    def _on_report(self, worker: WorkerId, report: AttemptReport) -> None:
+        match report.phase:
+            case AttemptPhase.RUNNING:
+                if self.ledger.holder(report.attempt) is None:
+                    self.ledger.hold(
+                        report.attempt,
+                        worker=worker,
+                        resources=report.resources,
+                    )
+                self._started[report.attempt] = worker
+            case AttemptPhase.ENDED:
+                self._note_health(worker, report)
+                self._finish(
+                    report.attempt,
+                    worker,
+                    report.outcome,
+                    report.answer,
+                )
+            case AttemptPhase.SEALED | AttemptPhase.REFUSED:
+                self._finish(report.attempt, worker, Outcome.NEVER)
+
+    def _on_used(self, upstream: Upstream, usages: list[Usage]) -> None:
+        for usage in usages:
+            held = self.ledger.holder(usage.attempt)
+            if held and not usage.used.fits(held.resources):
+                upstream.throttle(usage.attempt)
+
+    def _note_health(self, worker: WorkerId, report: AttemptReport) -> None:
+        workload = self._workloads.get(report.attempt, '')
+        self.health.note(worker, workload, report.outcome)
+        if self.health.is_quarantined(worker):
+            _log.warning('worker %s is quarantined', worker)
+            self.ledger.close(worker)
+
+    def _open_or_close(self, upstream: Upstream) -> None:
+        worker = upstream.instance.id
+        if upstream.open and not self.health.is_quarantined(worker):
+            self.ledger.open(worker, boot=upstream.boot)
+        else:
+            self.ledger.close(worker)
+
+    def _on_state(self, upstream: Upstream) -> None:
+        worker = upstream.instance.id
+        if self._upstreams.get(worker) is not upstream:
+            return
+        self._open_or_close(upstream)
+        if upstream.state is UpstreamState.LOST:
+            for key in self.ledger.holds_on(worker):
+                self._reservations.take(AttemptId(key))
+                self._finish(AttemptId(key), worker, Outcome.LOST)
+        self._room_changed()
+
+    # Settling
+
+    def _finish(
+        self,
+        attempt: AttemptId,
+        worker: WorkerId,
+        outcome: Outcome,
+        answer: str = '',
+    ) -> None:
+        """Give an attempt's room back and keep its end for its owner."""
+        self._started.pop(attempt, None)
+        self._workloads.pop(attempt, None)
+        released = self.ledger.release(attempt)
+        if released is not None:
+            self._note_running(worker)
+            self._room_changed()
+        if _is_lookup(attempt):
+            self._forget_lookup(attempt, worker)
+            return
+        self._end_sites[attempt] = worker
+        self._ends[attempt] = Settlement(
+            attempt=attempt,
+            outcome=outcome,
+            answer=answer,
+        )
+        self.ends_changed.set()
+
+    def _forget_lookup(self, attempt: AttemptId, worker: WorkerId) -> None:
+        upstream = self._upstreams.get(worker)
+        if upstream is not None:
+            upstream.forget(attempt)
+
+    def _settle(self, entry: Revocation) -> Settlement | None:
+        attempt = entry.attempt
+        if attempt in self._ends:
+            return self._ends[attempt]
+        if attempt in self._started:
+            if entry.stop:
+                self._upstreams[self._started[attempt]].stop(attempt)
+            return None
+        reservation = self._reservations.cancel(attempt)
+        if reservation is not None:
+            self._free(reservation)
+            return Settlement(attempt=attempt, outcome=Outcome.NEVER)
+        return self._judge_unknown(attempt, entry.site)
+
+    def _judge_unknown(
+        self, attempt: AttemptId, site: Site
+    ) -> Settlement | None:
+        """Settle an attempt that a sealed or lost worker doesn't hold."""
+        upstream = self._upstreams.get(site.worker)
+        if upstream is None:
+            return self._judge_departed(attempt, site)
+        if upstream.state is UpstreamState.LOST:
+            return Settlement(attempt=attempt, outcome=Outcome.LOST)
+        if upstream.state is not UpstreamState.READY:
+            return None
+        if upstream.boot != site.boot:
+            return Settlement(attempt=attempt, outcome=Outcome.LOST)
+        return Settlement(attempt=attempt, outcome=Outcome.NEVER)
+
+    def _judge_departed(
+        self, attempt: AttemptId, site: Site
+    ) -> Settlement | None:
+        """Settle an attempt whose worker the platform lists no more."""
+        since = self._owned_since.get(self.partition(site.rack))
+        if since is None or site.worker in self._listed:
+            return None
+        if trio.current_time() - since < _LOST_AFTER_S:
+            return None
+        return Settlement(attempt=attempt, outcome=Outcome.LOST)
+
+    def _start(self, entry: Confirmation, request: Confirm) -> bool:
+        reservation = self._reservations.find(entry.attempt)
+        if reservation is None:
+            return entry.attempt in self._started
+        if reservation.origin.epoch != request.origin.epoch:
+            return False
+        self._reservations.take(entry.attempt)
+        worker = reservation.site.worker
+        upstream = self._upstreams[worker]
+        if upstream.state is not UpstreamState.READY:
+            self._free(reservation)
+            return False
+        self._started[entry.attempt] = worker
+        self._workloads[entry.attempt] = reservation.need.workload
+        upstream.start(
+            StartCommand(
+                attempt=entry.attempt,
+                resources=reservation.need.resources,
+                run_s=reservation.need.run_s,
+                payload=entry.payload,
+            ),
+        )
+        self._note_running(worker)
+        return True
+
+    def _is_new(self, attempt: AttemptId) -> bool:
+        return (
+            not self._reservations.is_refused(attempt)
+            and self._reservations.find(attempt) is None
+            and self.ledger.holder(attempt) is None
+        )
+
+    def _old_grants(self, needs: list[Need]) -> list[Grant]:
+        """Return the grants of needs that were asked for before."""
+        held = [self._reservations.find(need.attempt) for need in needs]
+        return [
+            Grant(attempt=entry.need.attempt, site=entry.site)
+            for entry in held
+            if entry is not None
+        ]
+
+    def _free(self, reservation: Reservation) -> None:
+        self.ledger.release(reservation.need.attempt)
+        self._room_changed()
+
+    async def _expire_forever(self) -> None:
+        while True:
+            await trio.sleep(_EXPIRY_INTERVAL_S)
+            for reservation in self._reservations.expire():
+                self._free(reservation)
+            for worker in self.health.quarantined:
+                if worker in self._upstreams:
+                    self._open_or_close(self._upstreams[worker])
+
+    def _note_running(self, worker: WorkerId) -> None:
+        upstream = self._upstreams.get(worker)
+        if upstream is not None:
+            upstream.note_running(len(self.ledger.holds_on(worker)))
+
+
+def _is_lookup(attempt: AttemptId) -> bool:
+    return _LOOKUP_MARK in attempt
+
+
+def no_slot(work: Work) -> Problem:
+    """Return what a caller is told when no slot is free for its lookup."""
+    return Problem(
+        kind=ErrorKind.OVERLOADED,
+        detail=f'pool {work.pool} has no free slot for the lookup',
+        remedy='send it again after the time given',
+        ran=Ran.NO,
+        retry_after_s=1,
+    )
+
+
+def _unanswered(work: Work) -> Problem:
+    return Problem(
+        kind=ErrorKind.UNSETTLED,
+        detail=f'the worker gave no answer to lookup {work.id}',
+        remedy='send it again; a lookup is idempotent',
+        ran=Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/journal.py
@@ -0,0 +1,182 @@
+"""The journal: one packed row per commit for all events of a daemon.
+
+Events of all partitions share a row, so the writes to the table service
+depend on time and not on the number of placements. The window between two
+commits stretches with the service's latency and the daemon's share of the
+write budget.
+"""
+
+import logging
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.codec import encode
+from cyclamentrack.errors import ConditionFailedError, FencedError
+from cyclamentrack.events import Event
+from cyclamentrack.ids import DaemonId, Incarnation
+from cyclamentrack.membership import Membership
+from cyclamentrack.ports import (
+    Absent,
+    Delete,
+    Put,
+    Table,
+    Transaction,
+    Write,
+)
+from cyclamentrack.store import commit_settled
+
+_log = logging.getLogger(__name__)
+
+_DELETES_PER_COMMIT = 200
+
+
+class JournalRow(msgspec.Struct, frozen=True, kw_only=True):
+    """The events of one commit."""
+
+    events: list[Event]
+
+
+def journal_key(daemon: DaemonId, incarnation: Incarnation, row: int) -> str:
+    """Return the key of one journal row; keys sort by row number."""
+    return f'journal/{daemon}/{incarnation}/{row:012d}'
+
+
+class Journal:
+    """Appends events and settles them in groups."""
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        membership: Membership,
+        writers: Callable[[], int],
+    ) -> None:
+        """Start empty; ``writers`` tells how many daemons share the budget."""
+        self._table = table
+        self._membership = membership
+        self._writers = writers
+        self._pending: dict[int, Event] = {}
+        self._appended = 0
+        self._settled = 0
+        self._row = 0
+        self._first_row = 0
+        self._in_flight = False
+        self._deletes: list[str] = []
+        self._wake = trio.Event()
+        self._progress = trio.Event()
+        self._withdrawn = 0
+        self.commits = 0
+
+    @property
+    def appended(self) -> int:
+        """Position of the last appended event."""
+        return self._appended
+
+    @property
+    def settled(self) -> int:
+        """Position up to which all events are durable."""
+        return self._settled
+
+    @property
+    def withdrawn(self) -> int:
+        """How many events were taken back before they were sent."""
+        return self._withdrawn
+
+    @property
+    def open_row(self) -> int:
+        """Number of the earliest row that may take further events."""
+        return self._row
+
+    def append(self, event: Event) -> int:
+        """Add an event and return its position."""
+        self._appended += 1
+        self._pending[self._appended] = event
+        self._wake.set()
+        return self._appended
+
+    def withdraw(self, position: int) -> bool:
+        """Take an event back if it was not sent; tell whether it was."""
+        if self._pending.pop(position, None) is None:
+            return False
+        self._withdrawn += 1
+        return True
+
+    async def settle(self, position: int) -> None:
+        """Wait until the event at a position is durable."""
+        while self._settled < position:
+            await self._progress.wait()
+
+    def truncate(self, row: int) -> None:
+        """Let later commits delete the rows below ``row``."""
+        me = self._membership.me
+        for number in range(self._first_row, row):
+            self._deletes.append(
+                journal_key(me.daemon, me.incarnation, number),
+            )
+        self._first_row = max(self._first_row, row)
+
+    def delete_later(self, keys: list[str]) -> None:
+        """Let later commits delete rows that nothing refers to any more."""
+        self._deletes.extend(keys)
+
+    async def run(self) -> None:
+        """Commit windows of events until cancelled.
+
+        Raises ``FencedError`` once a successor owns what this daemon owned.
+        """
+        while True:
+            await self._wake.wait()
+            started = trio.current_time()
+            await self._commit_window()
+            elapsed = trio.current_time() - started
+            await trio.sleep(max(self._window_s() - elapsed, 0))
+
+    def _window_s(self) -> float:
+        """Return the time between commits that the write budget allows."""
+        budget = defaults.TABLE_WRITES_PER_S * defaults.JOURNAL_BUDGET_SHARE
+        share = budget / max(self._writers(), 1)
+        return max(1 / share, defaults.JOURNAL_WINDOW_MIN_S)
+
+    async def _commit_window(self) -> None:
+        positions = list(self._pending)[: defaults.JOURNAL_ROW_EVENTS]
+        events = [self._pending.pop(position) for position in positions]
+        last = positions[-1] if positions else self._appended
+        if events:
+            await self._write(events)
+        self._settled = last
+        if not self._pending:
+            self._settled = self._appended
+            self._wake = trio.Event()
+        self._progress.set()
+        self._progress = trio.Event()
+
+    async def _write(self, events: list[Event]) -> None:
+        me = self._membership.me
+        proof = Put(
+            key=journal_key(me.daemon, me.incarnation, self._row),
+            body=encode(JournalRow(events=events)),
+        )
+        deletes = self._deletes[:_DELETES_PER_COMMIT]
+        writes: list[Write] = [proof]
+        writes.extend(Delete(key=key) for key in deletes)
+        try:
+            await commit_settled(
+                table=self._table,
+                transaction=Transaction(
+                    conditions=[
+                        self._membership.alive(),
+                        Absent(key=proof.key),
+                    ],
+                    writes=writes,
+                ),
+                proof=proof,
+            )
+        except ConditionFailedError as lost:
+            self._membership.mark_fenced()
+            raise FencedError(incarnation=me.incarnation) from lost
+        self._row += 1
+        self.commits += 1
+        self._deletes = self._deletes[len(deletes) :]
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/metrics.py
@@ -0,0 +1,65 @@
+"""Counters and wait histograms, in the usual text exposition."""
+
+from hdrh.histogram import HdrHistogram
+
+from cyclamentrack.work import Kind
+
+_HIGHEST_US = 86_400 * 1_000_000
+_DIGITS = 3
+_PERCENTILES = (50.0, 99.0, 99.9)
+_US_PER_S = 1_000_000
+
+
+class Metrics:
+    """What one daemon has counted since it started."""
+
+    def __init__(self) -> None:
+        """Start at zero."""
+        self.counters: dict[str, int] = {}
+        self.gauges: dict[str, float] = {}
+        self._waits = {
+            kind: HdrHistogram(1, _HIGHEST_US, _DIGITS) for kind in Kind
+        }
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + amount
+
+    def gauge(self, name: str, amount: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = amount
+
+    def wait(self, kind: Kind, seconds: float) -> None:
+        """Record how long work waited before it was placed."""
+        micros = max(int(seconds * _US_PER_S), 1)
+        self._waits[kind].record_value(micros)
+
+    def wait_s(self, kind: Kind, percentile: float) -> float:
+        """Return a percentile of the waits of a kind, in seconds."""
+        micros = self._waits[kind].get_value_at_percentile(percentile)
+        return float(micros) / _US_PER_S
+
+    def exposition(self) -> str:
+        """Return all metrics as text, one sample a line."""
+        lines = [
+            f'cyclamentrack_{name}_total {amount}'
+            for name, amount in sorted(self.counters.items())
+        ]
+        lines.extend(
+            f'cyclamentrack_{name} {amount}'
+            for name, amount in sorted(self.gauges.items())
+        )
+        for kind in Kind:
+            lines.extend(self._wait_lines(kind))
+        return ''.join(f'{line}\n' for line in lines)
+
+    def _wait_lines(self, kind: Kind) -> list[str]:
+        name = 'cyclamentrack_wait_seconds'
+        label = f'kind="{kind.value}"'
+        lines = [
+            f'{name}{{{label},quantile="{percentile / 100}"}} '
+            f'{self.wait_s(kind, percentile)}'
+            for percentile in _PERCENTILES
+        ]
+        total = self._waits[kind].get_total_count()
+        return [*lines, f'{name}_count{{{label}}} {total}']
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/node.py
@@ -0,0 +1,462 @@
+"""One daemon's share of the cell: all stages wired together.
+
+A node is one incarnation. When it is fenced, ``run`` raises ``FencedError``
+and a new node joins as a new incarnation.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.admission import Admission
+from cyclamentrack.audit import Audit, AuditKind
+from cyclamentrack.book import Book
+from cyclamentrack.cellview import CellView
+from cyclamentrack.coordinator import Coordinator
+from cyclamentrack.dispatch import Dispatcher
+from cyclamentrack.errors import ErrorKind, PeerSilentError, Problem, Ran
+from cyclamentrack.fairness import Fairness
+from cyclamentrack.fleet import Fleet
+from cyclamentrack.ids import Epoch, PartitionId
+from cyclamentrack.journal import Journal
+from cyclamentrack.membership import Member, Membership, MemberState
+from cyclamentrack.messages import (
+    Answers,
+    CancelWork,
+    ConfigChanged,
+    Confirm,
+    Declined,
+    Done,
+    EndsKept,
+    PeerMessage,
+    ReportEnds,
+    Reserve,
+    Revoke,
+    RunLookup,
+    ShowWork,
+    SubmitWork,
+    Summary,
+)
+from cyclamentrack.metrics import Metrics
+from cyclamentrack.ownership import Handlers, Ownership
+from cyclamentrack.ports import (
+    Instances,
+    ObjectStore,
+    Peers,
+    Table,
+    Workers,
+)
+from cyclamentrack.queue import WorkQueue
+from cyclamentrack.reports import EndReporter
+from cyclamentrack.resources import NOTHING, Resources
+from cyclamentrack.routing import Router, serve
+from cyclamentrack.settle import Settler
+from cyclamentrack.tickets import (
+    Configuration,
+    Ticket,
+    TicketDesk,
+    TicketRow,
+)
+from cyclamentrack.usage import Usage
+from cyclamentrack.waits import Waits
+from cyclamentrack.works import Works
+
+_log = logging.getLogger(__name__)
+
+_POLL_S = 0.02
+
+
+class Platform(msgspec.Struct, frozen=True, kw_only=True):
+    """The ways to the platform, to workers and to peers."""
+
+    table: Table
+    store: ObjectStore
+    instances: Instances
+    workers: Workers
+    peers: Peers
+
+
+class Node:
+    """One incarnation of a daemon."""
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        me: Member,
+        wall_clock: Callable[[], float],
+        partitions: int = defaults.PARTITIONS,
+        tombstones: bool = True,
+        seed: int = 0,
+    ) -> None:
+        """Wire the stages; nothing is read or written before ``run``."""
+        self._platform = platform
+        self._partitions = partitions
+        self._random = random.Random(f'{me.incarnation}/{seed}')  # ruff: ignore[suspicious-non-cryptographic-random-usage]
+        self._departing: dict[PartitionId, Book] = {}
+        self._epochs: dict[PartitionId, Epoch] = {}
+        self._scope = trio.CancelScope()
+        self.draining = False
+        self.metrics = Metrics()
+        self.waits = Waits(metrics=self.metrics)
+        self.usage = Usage()
+        self.queue = WorkQueue()
+        self.view = CellView(seed=self._random.getrandbits(32))
+        self.configuration = Configuration()
+        self.audit = Audit(
+            store=platform.store,
+            daemon=me.daemon,
+            incarnation=me.incarnation,
+            wall_clock=wall_clock,
+        )
+        self.membership = Membership(table=platform.table, me=me)
+        self.journal = Journal(
+            table=platform.table,
+            membership=self.membership,
+            writers=lambda: len(self.membership.members),
+        )
+        self.works = Works(journal=self.journal, partitions=partitions)
+        self.ownership = Ownership(
+            table=platform.table,
+            store=platform.store,
+            membership=self.membership,
+            journal=self.journal,
+            handlers=Handlers(
+                take_on=self._take_on,
+                let_go=self._let_go,
+                book=self._book,
+            ),
+            partitions=partitions,
+        )
+        self.tickets = TicketDesk(
+            table=platform.table,
+            membership=self.membership,
+            configuration=self.configuration,
+        )
+        self._build_stages(tombstones=tombstones)
+
+    @property
+    def me(self) -> Member:
+        """This daemon's member row."""
+        return self.membership.me
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send requests here."""
+        return (
+            not self.draining
+            and self.configuration.loaded
+            and bool(self.admission.pools)
+        )
+
+    async def run(self) -> None:
+        """Join the cell and serve until stopped.
+
+        Raises ``FencedError`` when a successor took over.
+        """
+        with self._scope:
+            await self.membership.join()
+            async with trio.open_nursery() as nursery:
+                for stage in self._stages():
+                    nursery.start_soon(stage)
+
+    async def drain(self) -> None:
+        """Hand all partitions over, then leave the cell and stop.
+
+        Requests in flight go on meanwhile; the caller of ``drain`` waits for
+        them before it ends the process.
+        """
+        self.draining = True
+        with trio.move_on_after(defaults.DRAIN_LIMIT_S):
+            await self.membership.set_state(MemberState.DRAINING)
+            await self.ownership.drain()
+            await self.audit.flush()
+
+    async def leave(self) -> None:
+        """Remove this daemon's row and stop all stages."""
+        with trio.move_on_after(defaults.TABLE_TIMEOUT_S):
+            await self.membership.leave()
+        self.stop()
+
+    def stop(self) -> None:
+        """Stop all stages at once, as a crash would."""
+        self._scope.cancel()
+
+    async def apply_ticket(self, ticket: Ticket) -> TicketRow | Problem:
+        """Apply a change ticket and push the change to the peers."""
+        outcome = await self.tickets.apply(ticket)
+        match outcome:
+            case TicketRow(revision=revision):
+                event, detail = 'accepted', f'revision {revision}'
+            case Problem(kind=kind, detail=reason):
+                event, detail = f'refused: {kind.value}', reason
+        self.audit.note(
+            AuditKind.TICKET,
+            str(ticket.number),
+            event,
+            by=ticket.by,
+            detail=detail,
+        )
+        if isinstance(outcome, TicketRow):
+            self.tickets.hurry()
+            await self._push(ConfigChanged(revision=outcome.revision))
+        return outcome
+
+    async def handle(self, message: PeerMessage) -> PeerMessage:
+        """Answer one message of a peer."""
+        match message:
+            case SubmitWork() | ShowWork() | CancelWork():
+                answers = await serve(self.coordinator, message)
+                return Answers(answers=answers or [])
+            case RunLookup(work=work, deadline_s=deadline_s):
+                return await self.fleet.lookup(work, deadline_s)
+            case Reserve():
+                return self.fleet.reserve(message)
+            case Confirm():
+                return self.fleet.confirm(message)
+            case Revoke():
+                return self.fleet.revoke(message)
+            case ReportEnds(settlements=settlements):
+                kept = await self.coordinator.keep_ends(settlements)
+                return EndsKept(attempts=kept)
+            case Summary():
+                self.view.take(message)
+                return Done()
+            case ConfigChanged():
+                self.tickets.hurry()
+                return Done()
+        return _not_understood(message)
+
+    def capacity(self) -> Resources:
+        """Return the capacity of the workers owned here."""
+        total = NOTHING
+        for row in self.fleet.ledger.rows():
+            total = total.plus(row.capacity)
+        return total
+
+    def _build_stages(self, *, tombstones: bool) -> None:
+        platform = self._platform
+        self.fleet = Fleet(
+            workers=platform.workers,
+            instances=platform.instances,
+            owner=self.me.daemon,
+            partitions=self._partitions,
+            room_changed=lambda: self.dispatcher.wake(),
+            listed=lambda listed: self.admission.take_list(listed),
+            may_renew=self._may_renew,
+            tombstones=tombstones,
+        )
+        self.settler = Settler(
+            works=self.works,
+            fleet=self.fleet,
+            ownership=self.ownership,
+            membership=self.membership,
+            peers=platform.peers,
+            take_ends=lambda ends: self.coordinator.take_ends(ends),
+        )
+        self.dispatcher = Dispatcher(
+            works=self.works,
+            queue=self.queue,
+            fleet=self.fleet,
+            ownership=self.ownership,
+            membership=self.membership,
+            view=self.view,
+            peers=platform.peers,
+            settler=self.settler,
+            fairness=Fairness(
+                usage=self.usage,
+                configuration=self.configuration,
+                capacity=self.capacity,
+                team_usage=self.view.team_usage,
+            ),
+            usage=self.usage,
+            waits=self.waits,
+        )
+        self.admission = Admission(
+            queue=self.queue,
+            configuration=self.configuration,
+            own_share=self._own_share,
+        )
+        self.coordinator = Coordinator(
+            works=self.works,
+            dispatcher=self.dispatcher,
+            settler=self.settler,
+            admission=self.admission,
+            membership=self.membership,
+            usage=self.usage,
+            metrics=self.metrics,
+            waits=self.waits,
+            audit=self.audit,
+        )
+        self.reporter = EndReporter(
+            fleet=self.fleet,
+            works=self.works,
+            coordinator=self.coordinator,
+            ownership=self.ownership,
+            membership=self.membership,
+            peers=platform.peers,
+        )
+        self.router = Router(
+            works=self.works,
+            coordinator=self.coordinator,
+            fleet=self.fleet,
+            ownership=self.ownership,
+            membership=self.membership,
+            view=self.view,
+            peers=platform.peers,
+            waits=self.waits,
+        )
+
+    def _stages(self) -> list[Callable[[], object]]:
+        return [
+            self.membership.run,
+            self.journal.run,
+            self.ownership.run,
+            self.fleet.run,
+            self.dispatcher.run,
+            self.settler.run,
+            self.coordinator.run,
+            self.reporter.run,
+            self.tickets.run,
+            self.audit.run,
+            self._summarize_forever,
+            self._snapshot_forever,
+            self._follow_owners,
+        ]
+
+    # Partitions coming and going
+
+    def _take_on(
+        self, partition: PartitionId, epoch: Epoch, book: Book
+    ) -> None:
+        self.audit.note(
+            AuditKind.OWNERSHIP,
+            f'partition {partition}',
+            f'epoch {epoch}',
+        )
+        self.works.take_on(book)
+        self.dispatcher.reopen(partition)
+        self.coordinator.recover(partition)
+        self.fleet.take_on(partition, epoch)
+
+    async def _let_go(self, partition: PartitionId) -> None:
+        """Stop deciding on a partition once nothing of it is in flight."""
+        self.dispatcher.close(partition)
+        self.fleet.close(partition)
+        while not self._is_quiet(partition):
+            await trio.sleep(_POLL_S)
+        self.coordinator.release(partition)
+        self.settler.drop(partition)
+        book = self.works.let_go(partition)
+        if book is not None:
+            self._departing[partition] = book
+        self.fleet.let_go(partition)
+        self.audit.note(
+            AuditKind.OWNERSHIP,
+            f'partition {partition}',
+            'handed over',
+        )
+
+    def _is_quiet(self, partition: PartitionId) -> bool:
+        return self.dispatcher.is_idle(
+            partition,
+        ) and not self.fleet.has_lookups(partition)
+
+    def _book(self, partition: PartitionId) -> Book:
+        if partition in self._departing:
+            return self._departing[partition]
+        return self.works.book(partition)
+
+    async def _follow_owners(self) -> None:
+        """Ask about attempts whose worker has a new owner."""
+        while True:
+            changed = self.ownership.changed
+            self._ask_new_owners()
+            await changed.wait()
+
+    def _ask_new_owners(self) -> None:
+        epochs = self.ownership.epochs()
+        moved = {
+            partition
+            for partition, epoch in epochs.items()
+            if self._epochs.get(partition, epoch) != epoch
+        }
+        self._epochs = epochs
+        if moved:
+            self.coordinator.ask_about(moved, self.fleet.partition)
+
+    # Upkeep
+
+    def _may_renew(self) -> bool:
+        return self.membership.lapsed_s < defaults.OUTAGE_GRACE_S
+
+    def _own_share(self) -> float:
+        return len(self.ownership.held) / self._partitions
+
+    async def _snapshot_forever(self) -> None:
+        """Write the books in turn, so that the journal stays short."""
+        while True:
+            held = self.ownership.held
+            pause = defaults.SNAPSHOT_INTERVAL_S / max(len(held), 1)
+            for partition in held:
+                await trio.sleep(pause)
+                if partition in self.ownership.held:
+                    await self.ownership.snapshot(partition)
+            self.journal.truncate(self.ownership.oldest_row())
+            if not held:
+                await trio.sleep(pause)
+
+    async def _summarize_forever(self) -> None:
+        while True:
+            await self._push(self._summary(), limit=defaults.SUMMARY_PEERS)
+            await trio.sleep(defaults.SUMMARY_INTERVAL_S)
+
+    def _summary(self) -> Summary:
+        return Summary(
+            daemon=self.me.daemon,
+            incarnation=self.me.incarnation,
+            revision=self.configuration.revision,
+            pools=self.fleet.ledger.summaries(),
+            queued=len(self.queue),
+            teams=self.usage.teams(),
+        )
+
+    async def _push(
+        self, message: PeerMessage, *, limit: int | None = None
+    ) -> None:
+        """Send a message to peers, a random sample of them with a limit."""
+        peers = [
+            member
+            for member in self.membership.members
+            if member.daemon != self.me.daemon
+        ]
+        if limit is not None and len(peers) > limit:
+            peers = self._random.sample(peers, limit)
+        async with trio.open_nursery() as nursery:
+            for member in peers:
+                nursery.start_soon(self._push_to, member, message)
+
+    async def _push_to(self, member: Member, message: PeerMessage) -> None:
+        try:
+            await self._platform.peers.call(
+                address=member.peer,
+                message=message,
+                timeout_s=defaults.PEER_HEARTBEAT_S,
+            )
+        except PeerSilentError:
+            self.view.forget(member.daemon)
+
+
+def _not_understood(message: PeerMessage) -> Declined:
+    return Declined(
+        problem=Problem(
+            kind=ErrorKind.INVALID,
+            detail=f'{type(message).__name__} is not a request',
+            remedy='run the same version on all daemons',
+            ran=Ran.NO,
+        ),
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/placement.py
@@ -0,0 +1,227 @@
+"""Placement policies, one per kind of work, in a registry by name.
+
+A policy chooses workers for the tasks of one work among the workers that the
+ledger keeps open. It holds room for all that it returns. A policy registers
+itself with ``register_policy``; the built-in ones do so on import.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from cyclamentrack.ids import PoolName
+from cyclamentrack.index import WorkerSlotRow
+from cyclamentrack.ledger import Ledger
+from cyclamentrack.messages import Need, Site
+from cyclamentrack.resources import Resources
+from cyclamentrack.work import Kind
+
+_CANDIDATES = 6
+_RACK_TRIES = 8
+_STRANDED_WEIGHT = 0.5
+
+
+class Choice(msgspec.Struct, frozen=True, kw_only=True):
+    """A worker chosen for one need; its room is held."""
+
+    need: Need
+    site: Site
+
+
+Policy = Callable[[Ledger, list[Need]], list[Choice]]
+
+_policies: dict[Kind, Policy] = {}
+
+
+def register_policy(kind: Kind) -> Callable[[Policy], Policy]:
+    """Register a policy for a kind of work, replacing an earlier one.
+
+    >>> @register_policy(Kind.BATCH)
+    ... def first_fit(ledger, needs): ...
+    """
+
+    def decorate(policy: Policy) -> Policy:
+        _policies[kind] = policy
+        return policy
+
+    return decorate
+
+
+def policy_for(kind: Kind) -> Policy:
+    """Return the policy registered for a kind."""
+    return _policies[kind]
+
+
+def place(
+    ledger: Ledger, needs: list[Need], *, partial: bool = False
+) -> list[Choice]:
+    """Place needs of one kind; return the choices, whose room is held.
+
+    With ``partial`` a gang's needs are placed as far as there is room.
+    """
+    if not needs:
+        return []
+    kind = Kind.BATCH if partial else needs[0].kind
+    return policy_for(kind)(ledger, needs)
+
+
+@register_policy(Kind.LOOKUP)
+def place_on_emptiest_slot(ledger: Ledger, needs: list[Need]) -> list[Choice]:
+    """Give each lookup a slot of the worker that has the most free."""
+    choices: list[Choice] = []
+    for need in needs:
+        index = ledger.pool(need.pool)
+        rows = index.emptiest_slots(need.resources) if index else ()
+        row = next(iter(rows), None)
+        if row is not None:
+            choices.append(_hold(ledger, row, need, slots=1))
+    return choices
+
+
+@register_policy(Kind.BATCH)
+def place_tightly(ledger: Ledger, needs: list[Need]) -> list[Choice]:
+    """Put each task where it leaves the least and most balanced rest."""
+    choices: list[Choice] = []
+    full: set[tuple[PoolName, Resources]] = set()
+    for need in needs:
+        shape = (need.pool, need.resources)
+        if shape in full:
+            continue
+        index = ledger.pool(need.pool)
+        rows = index.tightest(need.resources) if index else ()
+        row = _best(rows, need.resources)
+        if row is None:
+            full.add(shape)
+            continue
+        choices.append(_hold(ledger, row, need))
+    return choices
+
+
+@register_policy(Kind.GANG)
+def place_all_or_none(ledger: Ledger, needs: list[Need]) -> list[Choice]:
+    """Place all tasks at once, in one rack if one has the room."""
+    racks = sorted(
+        ledger.racks(needs[0].pool),
+        key=_rack_cores,
+        reverse=True,
+    )
+    for rows in racks[:_RACK_TRIES]:
+        plan = _fill(rows, needs)
+        if len(plan) == len(needs):
+            return _hold_plan(ledger, plan, needs)
+    spread = [row for rows in racks for row in rows]
+    plan = _fill(spread, needs)
+    if len(plan) < len(needs):
+        return []
+    return _hold_plan(ledger, plan, needs)
+
+
+@register_policy(Kind.SERVICE)
+def place_spread(ledger: Ledger, needs: list[Need]) -> list[Choice]:
+    """Spread the tasks of a service over zones, then racks, then workers."""
+    counts: dict[str, int] = {}
+    choices: list[Choice] = []
+    for need in needs:
+        index = ledger.pool(need.pool)
+        rows = index.roomiest(need.resources) if index else ()
+        row = _least_crowded(rows, counts)
+        if row is None:
+            break
+        for domain in (row.zone, row.rack, row.id):
+            counts[domain] = counts.get(domain, 0) + 1
+        choices.append(_hold(ledger, row, need))
+    return choices
+
+
+def _best(
+    rows: Iterable[WorkerSlotRow], need: Resources
+) -> WorkerSlotRow | None:
+    best: WorkerSlotRow | None = None
+    lowest = float('inf')
+    for _, row in zip(range(_CANDIDATES), rows, strict=False):
+        score = leftover(row, need)
+        if score < lowest:
+            best, lowest = row, score
+    return best
+
+
+def leftover(row: WorkerSlotRow, need: Resources) -> float:
+    """Return how much a placement leaves and how lopsided the rest is.
+
+    Accelerators that non-accelerator work would strand weigh most.
+    """
+    capacity = row.capacity
+    cores = (row.cores - need.milli_cores) / max(capacity.milli_cores, 1)
+    memory = (row.memory - need.memory_mib) / max(capacity.memory_mib, 1)
+    devices = (row.accelerators - need.accelerators) / max(
+        capacity.accelerators,
+        1,
+    )
+    return cores + memory + devices + _STRANDED_WEIGHT * abs(cores - memory)
+
+
+def _least_crowded(
+    rows: Iterable[WorkerSlotRow], counts: dict[str, int]
+) -> WorkerSlotRow | None:
+    return min(
+        rows,
+        key=lambda row: (
+            counts.get(row.zone, 0),
+            counts.get(row.rack, 0),
+            counts.get(row.id, 0),
+        ),
+        default=None,
+    )
+
+
+def _rack_cores(rows: list[WorkerSlotRow]) -> int:
+    return sum(row.cores for row in rows)
+
+
+def _fill(rows: list[WorkerSlotRow], needs: list[Need]) -> list[WorkerSlotRow]:
+    """Return a worker per need, as far as the rows go; hold nothing."""
+    plan: list[WorkerSlotRow] = []
+    need = needs[0].resources
+    for row in rows:
+        room = min(_times(row, need), len(needs) - len(plan))
+        plan.extend([row] * room)
+        if len(plan) == len(needs):
+            break
+    return plan
+
+
+def _times(row: WorkerSlotRow, need: Resources) -> int:
+    """Return how many times a need fits on a worker."""
+    counts = [
+        free // asked
+        for free, asked in (
+            (row.cores, need.milli_cores),
+            (row.memory, need.memory_mib),
+            (row.accelerators, need.accelerators),
+        )
+        if asked
+    ]
+    return max(min(counts), 0) if counts else 1
+
+
+def _hold_plan(
+    ledger: Ledger, plan: list[WorkerSlotRow], needs: list[Need]
+) -> list[Choice]:
+    return [
+        _hold(ledger, row, need) for row, need in zip(plan, needs, strict=True)
+    ]
+
+
+def _hold(
+    ledger: Ledger, row: WorkerSlotRow, need: Need, *, slots: int = 0
+) -> Choice:
+    ledger.hold(
+        need.attempt,
+        worker=row.id,
+        resources=need.resources,
+        slots=slots,
+    )
+    return Choice(
+        need=need,
+        site=Site(worker=row.id, rack=row.rack, boot=row.boot),
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/queue.py
@@ -0,0 +1,106 @@
+"""Works that wait for room, in lanes of equal shape.
+
+All works of a lane ask for the same room, so when the first one doesn't fit,
+none of the lane does, and other lanes go on: large work never blocks small
+work behind it.
+"""
+
+from collections.abc import Iterator
+
+import msgspec
+
+from cyclamentrack.book import WorkRecord
+from cyclamentrack.ids import PoolName, TeamName, WorkId
+from cyclamentrack.resources import Resources
+from cyclamentrack.work import Kind, Urgency, Work
+
+
+class LaneKey(msgspec.Struct, frozen=True, kw_only=True):
+    """What the works of one lane have in common."""
+
+    urgency: Urgency
+    team: TeamName
+    kind: Kind
+    pool: PoolName
+    resources: Resources
+    gang_size: int
+
+
+class Lane(msgspec.Struct, kw_only=True, eq=False):
+    """Works of one shape, oldest first."""
+
+    key: LaneKey
+    works: dict[WorkId, WorkRecord]
+
+
+class WorkQueue:
+    """All lanes of a daemon."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._lanes: dict[LaneKey, Lane] = {}
+        self._lane_of: dict[WorkId, LaneKey] = {}
+        self._demand_s: dict[Urgency, float] = dict.fromkeys(Urgency, 0.0)
+
+    def __len__(self) -> int:
+        """Return how many works wait."""
+        return len(self._lane_of)
+
+    def __contains__(self, work: WorkId) -> bool:
+        """Tell whether a work waits here."""
+        return work in self._lane_of
+
+    def offer(self, record: WorkRecord) -> None:
+        """Let a work wait; a work that waits already keeps its place."""
+        work = record.work
+        if work.id in self._lane_of:
+            return
+        key = lane_key(work)
+        lane = self._lanes.get(key)
+        if lane is None:
+            lane = Lane(key=key, works={})
+            self._lanes[key] = lane
+        lane.works[work.id] = record
+        self._lane_of[work.id] = key
+        self._demand_s[work.urgency] += core_seconds(work)
+
+    def discard(self, work: WorkId) -> None:
+        """Let a work wait no more."""
+        key = self._lane_of.pop(work, None)
+        if key is None:
+            return
+        lane = self._lanes[key]
+        record = lane.works.pop(work)
+        self._demand_s[key.urgency] -= core_seconds(record.work)
+        if not lane.works:
+            self._lanes.pop(key)
+
+    def lanes(self) -> list[Lane]:
+        """Return the lanes that hold works."""
+        return list(self._lanes.values())
+
+    def records(self) -> Iterator[WorkRecord]:
+        """Yield all waiting works."""
+        for lane in self._lanes.values():
+            yield from lane.works.values()
+
+    def demand_s(self, urgency: Urgency) -> float:
+        """Return the core-seconds that wait at an urgency."""
+        return max(self._demand_s[urgency], 0)
+
+
+def lane_key(work: Work) -> LaneKey:
+    """Return the lane of a work."""
+    return LaneKey(
+        urgency=work.urgency,
+        team=work.team,
+        kind=work.kind,
+        pool=work.pool,
+        resources=work.resources,
+        gang_size=work.tasks if work.kind is Kind.GANG else 0,
+    )
+
+
+def core_seconds(work: Work) -> float:
+    """Return the declared processor time of a whole work in seconds."""
+    return work.tasks * work.run_s * work.resources.milli_cores / 1000
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/reservations.py
@@ -0,0 +1,90 @@
+"""Reservations at the owner of a worker: try, confirm, cancel.
+
+A reservation holds room until it is confirmed, cancelled or expires. A cancel
+that finds no reservation leaves a tombstone, which refuses a reserve that
+arrives late. The tombstone is the protected branch record of the TCC scheme
+described for seadt (empty rollback and hanging branches); the figures that
+speak for it are in ``docs/design.md``.
+"""
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.ids import AttemptId, Epoch, PartitionId
+from cyclamentrack.messages import Need, Origin, Site
+
+
+class Reservation(msgspec.Struct, kw_only=True, eq=False):
+    """Room held for one attempt until ``expires_at`` on the own clock."""
+
+    need: Need
+    site: Site
+    origin: Origin
+    expires_at: float
+
+
+class ReservationBook:
+    """The reservations that a daemon has granted."""
+
+    def __init__(self, *, tombstones: bool = True) -> None:
+        """Start empty; without ``tombstones`` late reserves are granted."""
+        self._reservations: dict[AttemptId, Reservation] = {}
+        self._tombstones: dict[AttemptId, float] = {}
+        self._epochs: dict[PartitionId, Epoch] = {}
+        self._keeps_tombstones = tombstones
+
+    def __len__(self) -> int:
+        """Return how many reservations are held."""
+        return len(self._reservations)
+
+    def is_stale(self, origin: Origin) -> bool:
+        """Tell whether a newer owner of the partition has spoken."""
+        seen = self._epochs.get(origin.partition, origin.epoch)
+        self._epochs[origin.partition] = max(seen, origin.epoch)
+        return origin.epoch < seen
+
+    def find(self, attempt: AttemptId) -> Reservation | None:
+        """Return the reservation of an attempt, or ``None``."""
+        return self._reservations.get(attempt)
+
+    def is_refused(self, attempt: AttemptId) -> bool:
+        """Tell whether a tombstone bars an attempt."""
+        return attempt in self._tombstones
+
+    def grant(self, *, need: Need, site: Site, origin: Origin) -> None:
+        """Record room that the ledger already holds."""
+        self._reservations[need.attempt] = Reservation(
+            need=need,
+            site=site,
+            origin=origin,
+            expires_at=trio.current_time() + defaults.RESERVATION_S,
+        )
+
+    def take(self, attempt: AttemptId) -> Reservation | None:
+        """Remove and return a reservation, as its confirm does."""
+        return self._reservations.pop(attempt, None)
+
+    def cancel(self, attempt: AttemptId) -> Reservation | None:
+        """Remove a reservation and refuse the attempt from now on."""
+        if self._keeps_tombstones:
+            until = trio.current_time() + defaults.TOMBSTONE_S
+            self._tombstones[attempt] = until
+        return self._reservations.pop(attempt, None)
+
+    def expire(self) -> list[Reservation]:
+        """Remove and return what has expired; drop old tombstones."""
+        now = trio.current_time()
+        old = [
+            attempt
+            for attempt, until in self._tombstones.items()
+            if until <= now
+        ]
+        for attempt in old:
+            self._tombstones.pop(attempt)
+        late = [
+            attempt
+            for attempt, entry in self._reservations.items()
+            if entry.expires_at <= now
+        ]
+        return [self._reservations.pop(attempt) for attempt in late]
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/resources.py
@@ -0,0 +1,70 @@
+"""Amounts of processors, memory and accelerators."""
+
+from typing import Annotated
+
+import msgspec
+
+_MAX_MILLI_CORES = 1_024_000
+_MAX_MEMORY_MIB = 16 * 1024 * 1024
+_MAX_ACCELERATORS = 64
+
+MilliCores = Annotated[int, msgspec.Meta(ge=0, le=_MAX_MILLI_CORES)]
+MemoryMib = Annotated[int, msgspec.Meta(ge=0, le=_MAX_MEMORY_MIB)]
+Accelerators = Annotated[int, msgspec.Meta(ge=0, le=_MAX_ACCELERATORS)]
+
+
+class Resources(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+):
+    """What one task needs, or what one worker has.
+
+    ``milli_cores`` are thousandths of a processor core, ``memory_mib`` is in
+    MiB and ``accelerators`` counts whole devices.
+
+    >>> Resources(milli_cores=1500, memory_mib=512).fits(
+    ...     Resources(milli_cores=2000, memory_mib=512),
+    ... )
+    True
+    """
+
+    milli_cores: MilliCores
+    memory_mib: MemoryMib
+    accelerators: Accelerators = 0
+
+    def fits(self, room: 'Resources') -> bool:
+        """Tell whether this amount is at most ``room`` in every dimension."""
+        return (
+            self.milli_cores <= room.milli_cores
+            and self.memory_mib <= room.memory_mib
+            and self.accelerators <= room.accelerators
+        )
+
+    def plus(self, other: 'Resources') -> 'Resources':
+        """Return the sum of two amounts."""
+        return Resources(
+            milli_cores=self.milli_cores + other.milli_cores,
+            memory_mib=self.memory_mib + other.memory_mib,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def dominant_share(self, whole: 'Resources') -> float:
+        """Return the largest fraction of ``whole`` over all dimensions."""
+        return max(
+            _fraction(self.milli_cores, whole.milli_cores),
+            _fraction(self.memory_mib, whole.memory_mib),
+            _fraction(self.accelerators, whole.accelerators),
+        )
+
+
+NOTHING = Resources(milli_cores=0, memory_mib=0)
+
+
+def _fraction(part: int, whole: int) -> float:
+    if not part:
+        return 0
+    if not whole:
+        return float('inf')
+    return part / whole
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/routing.py
@@ -0,0 +1,286 @@
+"""Routing of callers' requests to the daemons that own their works.
+
+A request may reach any daemon. It is passed on to the owner, and its whole
+answer comes back. Requests carry the caller's id, so a request that met
+silence is sent again under the same id and never runs twice.
+"""
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.cellview import CellView
+from cyclamentrack.coordinator import Coordinator
+from cyclamentrack.errors import ErrorKind, PeerSilentError, Problem, Ran
+from cyclamentrack.fleet import Fleet, no_slot
+from cyclamentrack.ids import DaemonId, WorkId
+from cyclamentrack.membership import Member, Membership
+from cyclamentrack.messages import (
+    Answers,
+    CancelWork,
+    LookupDone,
+    PeerMessage,
+    RunLookup,
+    ShowWork,
+    SubmitWork,
+)
+from cyclamentrack.ownership import Ownership
+from cyclamentrack.ports import Peers
+from cyclamentrack.waits import Waits
+from cyclamentrack.work import Answer, Work
+from cyclamentrack.works import Works
+
+_log = logging.getLogger(__name__)
+
+_Build = Callable[[list[WorkId]], PeerMessage]
+
+_RETRY_S = 0.1
+_GRACE_S = 1.0
+_LOOKUP_PEERS = 3
+_LOOKUP_TRIES = 2
+
+
+class Router:
+    """Serves requests here or at the daemon that owns the work."""
+
+    def __init__(
+        self,
+        *,
+        works: Works,
+        coordinator: Coordinator,
+        fleet: Fleet,
+        ownership: Ownership,
+        membership: Membership,
+        view: CellView,
+        peers: Peers,
+        waits: Waits,
+    ) -> None:
+        """Route through the given stages."""
+        self._works = works
+        self._coordinator = coordinator
+        self._fleet = fleet
+        self._ownership = ownership
+        self._membership = membership
+        self._view = view
+        self._peers = peers
+        self._waits = waits
+
+    async def submit(
+        self, works: list[Work], deadline_s: float
+    ) -> list[Answer]:
+        """Accept works at their owners; answers keep the order."""
+        by_id = {work.id: work for work in works}
+        until = trio.current_time() + deadline_s
+
+        def build(ids: list[WorkId]) -> PeerMessage:
+            left = max(until - trio.current_time(), _RETRY_S)
+            return SubmitWork(
+                works=[by_id[work] for work in ids], deadline_s=left
+            )
+
+        answers = await self._until_routed(list(by_id), build, until)
+        return [answers[work.id] for work in works]
+
+    async def show(self, work: WorkId, wait_s: float) -> Answer:
+        """Return a work's state, waiting up to ``wait_s`` for its end."""
+        until = trio.current_time() + wait_s
+
+        def build(ids: list[WorkId]) -> PeerMessage:
+            left = max(until - trio.current_time(), 0)
+            return ShowWork(id=ids[0], wait_s=left)
+
+        answers = await self._until_routed([work], build, until + _GRACE_S)
+        return answers[work]
+
+    async def cancel(self, works: list[WorkId]) -> list[Answer]:
+        """Cancel works at their owners; answers keep the order."""
+        until = trio.current_time() + defaults.ACCEPT_DEADLINE_S
+
+        def build(ids: list[WorkId]) -> PeerMessage:
+            return CancelWork(ids=ids)
+
+        answers = await self._until_routed(works, build, until)
+        return [answers[work] for work in works]
+
+    async def lookup(self, work: Work) -> LookupDone:
+        """Run a lookup here, or at a peer that probably has a free slot."""
+        started = trio.current_time()
+        until = started + (work.deadline_s or defaults.LOOKUP_DEADLINE_S)
+        done = LookupDone(problem=no_slot(work))
+        for _ in range(_LOOKUP_TRIES):
+            done = await self._lookup_once(work, until)
+            left = until - trio.current_time()
+            if not _is_unsettled(done) or left <= _RETRY_S:
+                break
+        if done.problem is None:
+            self._waits.end_lookup(started)
+        return done
+
+    async def _lookup_once(self, work: Work, until: float) -> LookupDone:
+        left = max(until - trio.current_time(), _RETRY_S)
+        done = await self._fleet.lookup(work, left / _LOOKUP_TRIES)
+        if done.problem is None or _is_unsettled(done):
+            return done
+        peers = self._view.candidates(work.pool, work.resources, slots=1)
+        for daemon in peers[:_LOOKUP_PEERS]:
+            found = await self._lookup_at(daemon, work, until)
+            if found.problem is None or _is_unsettled(found):
+                return found
+        return done
+
+    async def _lookup_at(
+        self, daemon: DaemonId, work: Work, until: float
+    ) -> LookupDone:
+        member = self._member(daemon)
+        if member is None:
+            return LookupDone(problem=no_slot(work))
+        left = max(until - trio.current_time(), _RETRY_S)
+        try:
+            reply = await self._peers.call(
+                address=member.peer,
+                message=RunLookup(work=work, deadline_s=left / 2),
+                timeout_s=left / 2 + _RETRY_S,
+            )
+        except PeerSilentError:
+            self._view.forget(daemon)
+            return LookupDone(problem=_silent_lookup(work))
+        if isinstance(reply, LookupDone):
+            return reply
+        return LookupDone(problem=no_slot(work))
+
+    async def _until_routed(
+        self, works: list[WorkId], build: _Build, until: float
+    ) -> dict[WorkId, Answer]:
+        """Ask the owners, and again those that moved, until a deadline."""
+        answers: dict[WorkId, Answer] = {}
+        left = works
+        while True:
+            answers.update(await self._each_owner(left, build))
+            left = _unrouted(answers)
+            if not left or trio.current_time() + _RETRY_S > until:
+                return answers
+            await trio.sleep(_RETRY_S)
+
+    async def _each_owner(
+        self, works: list[WorkId], build: _Build
+    ) -> dict[WorkId, Answer]:
+        """Send each owner its part of a request, all at the same time."""
+        groups: dict[DaemonId | None, list[WorkId]] = {}
+        members: dict[DaemonId, Member] = {}
+        for work in works:
+            owner = self._ownership.owner(self._works.partition(work))
+            if owner is not None:
+                members[owner.daemon] = owner
+            groups.setdefault(
+                owner.daemon if owner else None,
+                [],
+            ).append(work)
+        answers: dict[WorkId, Answer] = {}
+        async with trio.open_nursery() as nursery:
+            for daemon, ids in groups.items():
+                if daemon is None:
+                    answers.update(_no_owner(ids))
+                    continue
+                nursery.start_soon(
+                    self._ask_owner,
+                    members[daemon],
+                    ids,
+                    build,
+                    answers,
+                )
+        return answers
+
+    async def _ask_owner(
+        self,
+        owner: Member,
+        ids: list[WorkId],
+        build: _Build,
+        answers: dict[WorkId, Answer],
+    ) -> None:
+        request = build(ids)
+        if owner.daemon == self._membership.me.daemon:
+            found = await serve(self._coordinator, request)
+        else:
+            found = await self._ask_peer(owner, request)
+        if found is None or len(found) != len(ids):
+            answers.update(_no_owner(ids))
+            return
+        answers.update({answer.id: answer for answer in found})
+
+    async def _ask_peer(
+        self, owner: Member, request: PeerMessage
+    ) -> list[Answer] | None:
+        try:
+            reply = await self._peers.call(
+                address=owner.peer,
+                message=request,
+                timeout_s=_patience_s(request),
+            )
+        except PeerSilentError:
+            return None
+        return reply.answers if isinstance(reply, Answers) else None
+
+    def _member(self, daemon: DaemonId) -> Member | None:
+        for member in self._membership.members:
+            if member.daemon == daemon:
+                return member
+        return None
+
+
+async def serve(
+    coordinator: Coordinator, request: PeerMessage
+) -> list[Answer] | None:
+    """Serve a caller's request at the owner; ``None`` for another kind."""
+    match request:
+        case SubmitWork(works=works, deadline_s=deadline_s):
+            return await coordinator.submit(works, deadline_s)
+        case ShowWork(id=work, wait_s=wait_s):
+            return [await coordinator.show(work, wait_s)]
+        case CancelWork(ids=ids):
+            return await coordinator.cancel(ids, 'cancelled on request')
+    return None
+
+
+def _patience_s(request: PeerMessage) -> float:
+    match request:
+        case SubmitWork(deadline_s=deadline_s):
+            return deadline_s + _GRACE_S
+        case ShowWork(wait_s=wait_s):
+            return wait_s + defaults.PEER_CALL_TIMEOUT_S
+    return defaults.ACCEPT_DEADLINE_S
+
+
+def _unrouted(answers: dict[WorkId, Answer]) -> list[WorkId]:
+    """Return the works that no owner has answered for."""
+    return [
+        work
+        for work, answer in answers.items()
+        if answer.problem and answer.problem.kind is ErrorKind.NO_OWNER
+    ]
+
+
+def _no_owner(works: list[WorkId]) -> dict[WorkId, Answer]:
+    problem = Problem(
+        kind=ErrorKind.NO_OWNER,
+        detail='no daemon that owns the work could be reached in time',
+        remedy='send it again with the same id, which never runs it twice',
+        ran=Ran.UNKNOWN,
+        retry_after_s=1,
+    )
+    return {work: Answer(id=work, problem=problem) for work in works}
+
+
+def _is_unsettled(done: LookupDone) -> bool:
+    problem = done.problem
+    return problem is not None and problem.kind is ErrorKind.UNSETTLED
+
+
+def _silent_lookup(work: Work) -> Problem:
+    return Problem(
+        kind=ErrorKind.UNSETTLED,
+        detail=f'the daemon that ran lookup {work.id} went silent',
+        remedy='send it again; a lookup is idempotent',
+        ran=Ran.UNKNOWN,
+    )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/upstream.py
@@ -0,0 +1,307 @@
+"""The exchange with one worker: seal, lease, commands and reports.
+
+One task per worker sends commands and renews the lease; a second one waits
+for ends while attempts run there. Exchanges carry a rising number and the
+worker's own time stamp, so nothing that is delayed takes effect late.
+"""
+
+import enum
+import logging
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.errors import WorkerRefusedError, WorkerSilentError
+from cyclamentrack.ids import AttemptId, BootId, DaemonId, Epoch
+from cyclamentrack.ports import (
+    AttemptReport,
+    Instance,
+    InstanceState,
+    Lookup,
+    Seal,
+    StartCommand,
+    Sync,
+    SyncAnswer,
+    Usage,
+    Watch,
+    Workers,
+)
+from cyclamentrack.store import Backoff
+
+_log = logging.getLogger(__name__)
+
+
+class UpstreamState(enum.Enum):
+    """What the owner knows of a worker.
+
+    ``UNSEALED``: all its capacity counts as used. ``LOST``: its lease has
+    lapsed for certain, so nothing runs there any more.
+    """
+
+    UNSEALED = 'unsealed'
+    READY = 'ready'
+    SILENT = 'silent'
+    LOST = 'lost'
+
+
+class UpstreamEvents(msgspec.Struct, frozen=True, kw_only=True):
+    """What the owner of a worker is told.
+
+    ``sealed`` gets the worker's full report after a seal; ``reported`` gets
+    what an exchange brought; ``state_changed`` follows each change of state.
+    """
+
+    sealed: Callable[['Upstream', list[AttemptReport]], None]
+    reported: Callable[['Upstream', list[AttemptReport]], None]
+    used: Callable[['Upstream', list[Usage]], None]
+    state_changed: Callable[['Upstream'], None]
+
+
+class Upstream:
+    """One worker as its owner sees it."""
+
+    def __init__(
+        self,
+        *,
+        workers: Workers,
+        instance: Instance,
+        epoch: Epoch,
+        owner: DaemonId,
+        events: UpstreamEvents,
+        lost_after_s: float,
+        may_renew: Callable[[], bool],
+    ) -> None:
+        """Start unsealed; ``lost_after_s`` counts from now until an answer.
+
+        Nothing is sent while ``may_renew`` says no: a daemon that has long
+        been without a lease may have a successor who counts on its silence.
+        """
+        self._may_renew = may_renew
+        self._workers = workers
+        self._epoch = epoch
+        self._owner = owner
+        self._events = events
+        self._number = 0
+        self._token = 0.0
+        self._cursor = 0
+        self._lapses_at = trio.current_time() + lost_after_s
+        self._starts: dict[AttemptId, StartCommand] = {}
+        self._stops: dict[AttemptId, None] = {}
+        self._forgets: dict[AttemptId, None] = {}
+        self._throttles: dict[AttemptId, None] = {}
+        self._wake = trio.Event()
+        self._busy = trio.Event()
+        self._running = 0
+        self._scope = trio.CancelScope()
+        self._backoff = Backoff()
+        self.instance = instance
+        self.state = UpstreamState.UNSEALED
+        self.boot = BootId('')
+        self.leaving = instance.state is InstanceState.LEAVING
+
+    @property
+    def open(self) -> bool:
+        """Whether the worker takes new work."""
+        return self.state is UpstreamState.READY and not self.leaving
+
+    @property
+    def epoch(self) -> Epoch:
+        """The epoch under which this daemon speaks to the worker."""
+        return self._epoch
+
+    def start(self, command: StartCommand) -> None:
+        """Send a start with the next exchange, which follows at once."""
+        self._starts[command.attempt] = command
+        self._wake.set()
+
+    def stop(self, attempt: AttemptId) -> None:
+        """Stop an attempt, or seal it if it has not started."""
+        self._starts.pop(attempt, None)
+        self._stops[attempt] = None
+        self._wake.set()
+
+    def forget(self, attempt: AttemptId) -> None:
+        """Let the worker drop an end that is on record."""
+        self._forgets[attempt] = None
+
+    def throttle(self, attempt: AttemptId) -> None:
+        """Hold an attempt to what it was given."""
+        self._throttles[attempt] = None
+        self._wake.set()
+
+    def note_running(self, count: int) -> None:
+        """Say how many attempts run here, so that ends are waited for."""
+        self._running = count
+        if count:
+            self._busy.set()
+        elif self._busy.is_set():
+            self._busy = trio.Event()
+
+    async def lookup(self, *, key: str, need: Lookup, timeout_s: float) -> str:
+        """Run a quick request; raises ``WorkerSilentError`` when unanswered."""
+        stamped = msgspec.structs.replace(
+            need,
+            id=key,
+            epoch=self._epoch,
+            token=self._token,
+        )
+        with trio.move_on_after(timeout_s):
+            return await self._workers.lookup(
+                instance=self.instance,
+                lookup=stamped,
+            )
+        raise WorkerSilentError(worker=self.instance.id)
+
+    async def run(self) -> None:
+        """Talk to the worker until closed."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._command_forever)
+                nursery.start_soon(self._watch_forever)
+
+    def close(self) -> None:
+        """End the conversation; a successor seals the worker."""
+        self._scope.cancel()
+
+    async def _command_forever(self) -> None:
+        while True:
+            if self.state is UpstreamState.READY:
+                with trio.move_on_after(defaults.WORKER_HEARTBEAT_S):
+                    await self._wake.wait()
+            if self._may_renew():
+                await self._exchange()
+            else:
+                await trio.sleep(defaults.WORKER_HEARTBEAT_S)
+
+    async def _exchange(self) -> None:
+        self._wake = trio.Event()
+        sealed = self.state is UpstreamState.READY
+        try:
+            with trio.fail_after(defaults.WORKER_CALL_TIMEOUT_S):
+                if sealed:
+                    await self._sync()
+                else:
+                    await self._seal()
+        except (WorkerSilentError, trio.TooSlowError):
+            self._note_silence()
+            await self._backoff.sleep()
+        except WorkerRefusedError as refused:
+            _log.info('%s', refused)
+            self._change(UpstreamState.UNSEALED)
+            await trio.sleep(defaults.WORKER_HEARTBEAT_S)
+
+    async def _seal(self) -> None:
+        self._number += 1
+        answer = await self._workers.seal(
+            instance=self.instance,
+            seal=Seal(
+                epoch=self._epoch,
+                owner=self._owner,
+                number=self._number,
+            ),
+        )
+        self.boot = answer.boot
+        self._cursor = answer.cursor
+        self._note(answer)
+        self._backoff.reset()
+        self.state = UpstreamState.READY
+        self._events.sealed(self, answer.reports)
+        self._events.state_changed(self)
+
+    async def _sync(self) -> None:
+        batch = defaults.WORKER_SYNC_BATCH
+        self._number += 1
+        starts = list(self._starts.values())[:batch]
+        stops = list(self._stops)[:batch]
+        forgets = list(self._forgets)[:batch]
+        throttles = list(self._throttles)[:batch]
+        answer = await self._workers.sync(
+            instance=self.instance,
+            sync=Sync(
+                epoch=self._epoch,
+                owner=self._owner,
+                number=self._number,
+                token=self._token,
+                starts=starts,
+                stops=stops,
+                forgets=forgets,
+                throttles=throttles,
+            ),
+        )
+        for command in starts:
+            self._starts.pop(command.attempt, None)
+        _discard(self._stops, stops)
+        _discard(self._forgets, forgets)
+        _discard(self._throttles, throttles)
+        self._take(answer)
+        if self._starts or self._stops:
+            self._wake.set()
+
+    async def _watch_forever(self) -> None:
+        """Fetch ends as they happen while something runs."""
+        while True:
+            await self._busy.wait()
+            if self.state is not UpstreamState.READY:
+                await trio.sleep(defaults.WORKER_HEARTBEAT_S)
+                continue
+            try:
+                await self._watch()
+            except (WorkerSilentError, WorkerRefusedError, trio.TooSlowError):
+                await trio.sleep(defaults.TABLE_RETRY_MIN_S)
+
+    async def _watch(self) -> None:
+        patience_s = defaults.WORKER_WATCH_S + defaults.WORKER_CALL_TIMEOUT_S
+        with trio.fail_after(patience_s):
+            answer = await self._workers.watch(
+                instance=self.instance,
+                watch=Watch(
+                    epoch=self._epoch,
+                    cursor=self._cursor,
+                    wait_s=defaults.WORKER_WATCH_S,
+                ),
+            )
+        if self.state is UpstreamState.READY and answer.boot == self.boot:
+            self._cursor = answer.cursor
+            self._events.reported(self, answer.reports)
+
+    def _take(self, answer: SyncAnswer) -> None:
+        if answer.boot != self.boot:
+            self._change(UpstreamState.UNSEALED)
+            return
+        self._note(answer)
+        self._events.reported(self, answer.reports)
+        if answer.usages:
+            self._events.used(self, answer.usages)
+
+    def _note(self, answer: SyncAnswer) -> None:
+        self._token = answer.token
+        self._lapses_at = (
+            trio.current_time()
+            + defaults.WORKER_LEASE_S
+            + defaults.WORKER_LEASE_MARGIN_S
+        )
+        if answer.leaving and not self.leaving:
+            self.leaving = True
+            self._events.state_changed(self)
+
+    def _note_silence(self) -> None:
+        if trio.current_time() >= self._lapses_at:
+            self._change(UpstreamState.LOST)
+        elif self.state is UpstreamState.READY:
+            self._change(UpstreamState.SILENT)
+
+    def _change(self, state: UpstreamState) -> None:
+        if state is self.state:
+            return
+        _log.info('worker %s is %s', self.instance.id, state.value)
+        if state is not UpstreamState.READY:
+            self._starts.clear()
+        self.state = state
+        self._events.state_changed(self)
+
+
+def _discard(commands: dict[AttemptId, None], sent: list[AttemptId]) -> None:
+    for attempt in sent:
+        commands.pop(attempt, None)
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/usage.py
@@ -0,0 +1,89 @@
+"""What the running tasks of this daemon's works hold, by class and team."""
+
+import msgspec
+
+from cyclamentrack.book import WorkRecord
+from cyclamentrack.ids import AttemptId, TeamName
+from cyclamentrack.messages import TeamUsage
+from cyclamentrack.resources import NOTHING, Resources
+from cyclamentrack.work import Kind, Urgency, Work
+
+
+class _Counter(msgspec.Struct, kw_only=True, eq=False):
+    cores: int = 0
+    memory: int = 0
+    accelerators: int = 0
+
+    def add(self, amount: Resources, sign: int) -> None:
+        self.cores += sign * amount.milli_cores
+        self.memory += sign * amount.memory_mib
+        self.accelerators += sign * amount.accelerators
+
+    def total(self) -> Resources:
+        return Resources(
+            milli_cores=max(self.cores, 0),
+            memory_mib=max(self.memory, 0),
+            accelerators=max(self.accelerators, 0),
+        )
+
+
+class Usage:
+    """Resources held by placed attempts."""
+
+    def __init__(self) -> None:
+        """Start with nothing held."""
+        self._held: dict[AttemptId, Work] = {}
+        self._urgencies = {urgency: _Counter() for urgency in Urgency}
+        self._kinds = {kind: _Counter() for kind in Kind}
+        self._teams: dict[TeamName, _Counter] = {}
+
+    def hold(self, attempt: AttemptId, work: Work) -> None:
+        """Count an attempt that was placed."""
+        if attempt not in self._held:
+            self._held[attempt] = work
+            self._count(work, 1)
+
+    def release(self, attempt: AttemptId) -> None:
+        """Count an attempt that ended; a second time does nothing."""
+        work = self._held.pop(attempt, None)
+        if work is not None:
+            self._count(work, -1)
+
+    def restore(self, record: WorkRecord) -> None:
+        """Count the placed attempts of a recovered work."""
+        for attempt, _ in record.placed():
+            self.hold(attempt, record.work)
+
+    def drop(self, record: WorkRecord) -> None:
+        """Stop counting a work that another daemon owns now."""
+        for attempt, _ in record.placed():
+            self.release(attempt)
+
+    def by_urgency(self, urgency: Urgency) -> Resources:
+        """Return what an urgency's tasks hold."""
+        return self._urgencies[urgency].total()
+
+    def by_kind(self, kind: Kind) -> Resources:
+        """Return what a kind's tasks hold."""
+        return self._kinds[kind].total()
+
+    def by_team(self, team: TeamName) -> Resources:
+        """Return what a team's tasks hold."""
+        counter = self._teams.get(team)
+        return counter.total() if counter else NOTHING
+
+    def teams(self) -> list[TeamUsage]:
+        """Return what each team's tasks hold."""
+        return [
+            TeamUsage(team, counter.total())
+            for team, counter in self._teams.items()
+        ]
+
+    def _count(self, work: Work, sign: int) -> None:
+        team = self._teams.setdefault(work.team, _Counter())
+        for counter in (
+            self._urgencies[work.urgency],
+            self._kinds[work.kind],
+            team,
+        ):
+            counter.add(work.resources, sign)
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/works.py
@@ -0,0 +1,96 @@
+"""The works that this daemon owns: books, journal and waiting callers."""
+
+import trio
+
+from cyclamentrack.book import Book, WorkRecord
+from cyclamentrack.events import Accepted, Event, work_of
+from cyclamentrack.ids import PartitionId, WorkId
+from cyclamentrack.journal import Journal
+from cyclamentrack.work import Work, partition_of
+
+
+class Works:
+    """Books of the partitions that are owned, each event journalled."""
+
+    def __init__(self, *, journal: Journal, partitions: int) -> None:
+        """Own no books yet."""
+        self._journal = journal
+        self._partitions = partitions
+        self._books: dict[PartitionId, Book] = {}
+        self._changes: dict[WorkId, trio.Event] = {}
+
+    def take_on(self, book: Book) -> None:
+        """Own a recovered book."""
+        self._books[book.partition] = book
+
+    def let_go(self, partition: PartitionId) -> Book | None:
+        """Own a book no more; wake the callers that wait for its works."""
+        book = self._books.pop(partition, None)
+        for work in list(self._changes):
+            if self.partition(work) == partition:
+                self._wake(work)
+        return book
+
+    def partition(self, work: WorkId) -> PartitionId:
+        """Return the partition of a work."""
+        return partition_of(work, self._partitions)
+
+    def owns(self, work: WorkId) -> bool:
+        """Tell whether the book of a work is here."""
+        return self.partition(work) in self._books
+
+    def book(self, partition: PartitionId) -> Book:
+        """Return a book that is owned."""
+        return self._books[partition]
+
+    def books(self) -> list[Book]:
+        """Return all books that are owned."""
+        return list(self._books.values())
+
+    def find(self, work: WorkId) -> WorkRecord | None:
+        """Return the record of a work whose book is here, or ``None``."""
+        book = self._books.get(self.partition(work))
+        return None if book is None else book.find(work)
+
+    def log(self, event: Event) -> WorkRecord | None:
+        """Apply and journal an event; ``None`` when it changes nothing."""
+        work = work_of(event)
+        book = self._books.get(self.partition(work))
+        record = None if book is None else book.apply(event)
+        if record is None:
+            return None
+        record.position = self._journal.append(event)
+        self._wake(work)
+        return record
+
+    def accept(self, work: Work) -> WorkRecord | None:
+        """Take a work on; ``None`` when its id is on record already."""
+        return self.log(Accepted(work=work))
+
+    async def settle(self, record: WorkRecord) -> None:
+        """Wait until all that a record shows is durable."""
+        await self._journal.settle(record.position)
+
+    async def settle_position(self, position: int) -> None:
+        """Wait until the journal is durable up to a position."""
+        await self._journal.settle(position)
+
+    def withdraw(self, record: WorkRecord, position: int) -> bool:
+        """Take an accept back that was not sent to the table service."""
+        if record.position != position:
+            return False
+        if not self._journal.withdraw(position):
+            return False
+        book = self._books.get(self.partition(record.work.id))
+        if book is not None:
+            book.remove(record.work.id)
+        return True
+
+    async def changed(self, work: WorkId) -> None:
+        """Wait for the next event of a work."""
+        await self._changes.setdefault(work, trio.Event()).wait()
+
+    def _wake(self, work: WorkId) -> None:
+        waiting = self._changes.pop(work, None)
+        if waiting is not None:
+            waiting.set()
