--- /dev/null
+++ b/features/harness/oracle.py
@@ -0,0 +1,106 @@
+"""A simple oracle: what was promised of each work, and what really ran."""
+
+import msgspec
+
+from cyclamentrack.errors import Ran
+from cyclamentrack.ids import WorkId
+from cyclamentrack.work import Answer, Kind, Stage, Work
+from cyclamentrack_standins.recorder import Recorder
+
+
+class Promise(msgspec.Struct, kw_only=True):
+    """One work and all that its caller was told."""
+
+    work: Work
+    accepted: bool = False
+    refused_as_not_run: bool = False
+    cancelled: bool = False
+
+
+class Oracle:
+    """Judges the recorder's counts by what callers were told."""
+
+    def __init__(self, *, recorder: Recorder) -> None:
+        """Know of no work yet."""
+        self._recorder = recorder
+        self.promises: dict[WorkId, Promise] = {}
+
+    def expect(self, work: Work) -> None:
+        """A caller is about to submit a work."""
+        self.promises.setdefault(work.id, Promise(work=work))
+
+    def told(self, answer: Answer) -> None:
+        """Take in what a caller was told."""
+        promise = self.promises[answer.id]
+        if answer.view is not None:
+            promise.accepted = True
+            self._check_view(promise, answer)
+        elif answer.problem is not None:
+            if answer.problem.ran is Ran.NO and not promise.accepted:
+                promise.refused_as_not_run = True
+
+    def check_always(self) -> None:
+        """Check what must hold at every moment."""
+        recorder = self._recorder
+        assert recorder.overcommits == 0, 'a worker was asked for too much'
+        assert not recorder.doubled, f'ran twice at once: {recorder.doubled}'
+        for promise in self.promises.values():
+            self._check_starts(promise)
+
+    def check_end(self, promise: Promise, answer: Answer) -> None:
+        """Check a work after all faults are gone and time has passed."""
+        work = promise.work
+        if answer.view is None:
+            assert not promise.accepted, f'{work.id} vanished: {answer}'
+            return
+        stage = answer.view.stage
+        assert stage is not Stage.QUEUED, f'{work.id} was never placed'
+        if work.kind is not Kind.SERVICE:
+            assert stage is not Stage.RUNNING, f'{work.id} never ended'
+        self._check_stage(promise, answer)
+
+    def _check_starts(self, promise: Promise) -> None:
+        work = promise.work
+        for task in range(work.tasks):
+            starts = self._recorder.starts[f'{work.id}#{task}']
+            if promise.refused_as_not_run:
+                assert starts == 0, f'{work.id} ran but was refused'
+            if not work.idempotent and work.kind is not Kind.SERVICE:
+                assert starts <= 1, f'{work.id} started {starts} times'
+
+    def _check_view(self, promise: Promise, answer: Answer) -> None:
+        view = answer.view
+        starts = self._recorder.starts_of(answer.id)
+        if view.ran is Ran.NO:
+            if view.stage is Stage.CANCELLED:
+                assert starts == 0, f'{answer.id} ran before its cancel'
+                promise.refused_as_not_run = True
+        assert view.tasks == promise.work.tasks
+
+    def _check_stage(self, promise: Promise, answer: Answer) -> None:
+        work = promise.work
+        stage = answer.view.stage
+        completions = [
+            self._recorder.completions[f'{work.id}#{task}']
+            for task in range(work.tasks)
+        ]
+        if stage is Stage.SUCCEEDED:
+            assert all(completions), f'{work.id}: {completions}'
+            expected = [f'done {work.id}#{index}#' for index in range(work.tasks)]
+            pairs = zip(answer.view.answers, expected, strict=True)
+            assert all(got.startswith(want) for got, want in pairs), answer
+        if stage is Stage.CANCELLED:
+            assert promise.cancelled, f'{work.id} was cancelled by nobody'
+        if stage is Stage.UNKNOWN:
+            assert not work.idempotent, f'{work.id} may run again'
+        if stage is Stage.FAILED:
+            self._check_failed(work, answer)
+
+    def _check_failed(self, work: Work, answer: Answer) -> None:
+        """Only a gang that may not run twice can fail without an error.
+
+        Where one of its tasks could not start, the others can't be run again.
+        """
+        broken = work.kind is Kind.GANG and not work.idempotent
+        assert broken, f'{work.id} failed: {answer}'
+        assert self._recorder.starts_of(work.id), answer
--- a/packages/cyclamentrack/cyclamentrack/audit.py
+++ b/packages/cyclamentrack/cyclamentrack/audit.py
@@ -68,6 +68,7 @@
         self._buffer: deque[AuditEntry] = deque()
         self._noted = 0
         self._batches = 0
+        self._flushing = trio.Lock()
         self.dropped = 0
 
     def note(
@@ -105,6 +106,10 @@
 
     async def flush(self) -> None:
         """Write what is buffered; on an outage it stays buffered."""
+        async with self._flushing:
+            await self._write_batch()
+
+    async def _write_batch(self) -> None:
         entries = list(self._buffer)
         if not entries:
             return
--- a/packages/cyclamentrack/cyclamentrack/book.py
+++ b/packages/cyclamentrack/cyclamentrack/book.py
@@ -115,6 +115,8 @@
     def _ran(self) -> Ran:
         if self.stage is Stage.UNKNOWN:
             return Ran.UNKNOWN
+        if any(task.outcome is Outcome.LOST for task in self.tasks):
+            return Ran.UNKNOWN
         if self.started:
             return Ran.YES
         if any(task.phase is Phase.PLACED for task in self.tasks):
@@ -278,6 +280,8 @@
     outcomes = {task.outcome for task in record.tasks}
     if outcomes == {Outcome.SUCCEEDED}:
         return Stage.SUCCEEDED
+    if record.cancelled and record.work.idempotent:
+        return Stage.CANCELLED
     if Outcome.LOST in outcomes:
         return Stage.UNKNOWN
     if record.cancelled:
--- a/packages/cyclamentrack/cyclamentrack/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/dispatch.py
@@ -42,7 +42,7 @@
 )
 from cyclamentrack.ownership import Ownership
 from cyclamentrack.ports import Peers
-from cyclamentrack.queue import Lane, WorkQueue
+from cyclamentrack.queue import Lane, LaneKey, WorkQueue
 from cyclamentrack.retries import RetryBudget
 from cyclamentrack.settle import Settler
 from cyclamentrack.usage import Usage
@@ -55,6 +55,8 @@
 _IDLE_S = 0.5
 _SPILL_NEEDS = 64
 _SPILL_PEERS = 2
+_SPILL_LANES = 2
+_SPILL_PAUSE_S = 0.5
 
 
 class _Launch(msgspec.Struct, frozen=True, kw_only=True):
@@ -96,6 +98,7 @@
         self._waits = waits
         self._retries = RetryBudget()
         self._tries: dict[WorkId, int] = {}
+        self._spills_at: dict[LaneKey, float] = {}
         self._closed: set[PartitionId] = set()
         self._in_flight: dict[PartitionId, int] = {}
         self._wake = trio.Event()
@@ -148,8 +151,24 @@
 
     async def _round(self, nursery: trio.Nursery) -> None:
         blocked = self._place_here(nursery)
-        for lane in blocked[:_SPILL_PEERS]:
-            await self._spill(lane, nursery)
+        for lane in blocked[:_SPILL_LANES]:
+            if self._may_spill(lane):
+                await self._spill(lane, nursery)
+
+    def _may_spill(self, lane: Lane) -> bool:
+        """Tell whether a lane's turn to ask peers has come again.
+
+        A failed spill gives room back, which begins a new round: without a
+        pause between two spills of a lane that would go on for ever.
+        """
+        now = trio.current_time()
+        if now < self._spills_at.get(lane.key, now):
+            return False
+        self._spills_at = {
+            key: at for key, at in self._spills_at.items() if at > now
+        }
+        self._spills_at[lane.key] = now + _SPILL_PAUSE_S
+        return True
 
     def _place_here(self, nursery: trio.Nursery) -> list[Lane]:
         """Place on own workers; return the lanes that found no room."""
--- a/packages/cyclamentrack/cyclamentrack/reports.py
+++ b/packages/cyclamentrack/cyclamentrack/reports.py
@@ -73,8 +73,16 @@
             nursery.start_soon(self._report, owners[daemon], entries[:_BATCH])
 
     async def _report(self, owner: Member, entries: list[Settlement]) -> None:
+        """Report once; pause when the owner kept nothing of it.
+
+        An owner that hands the partition over keeps nothing until its
+        successor is there; without the pause that would spin.
+        """
         try:
-            self._fleet.forget(await self._send(owner, entries))
+            kept = await self._send(owner, entries)
+            self._fleet.forget(kept)
+            if not kept:
+                await trio.sleep(_RETRY_S)
         finally:
             self._on_the_way.discard(owner.daemon)
         if self._fleet.ends():
@@ -92,6 +100,5 @@
                 timeout_s=defaults.PEER_CALL_TIMEOUT_S,
             )
         except PeerSilentError:
-            await trio.sleep(_RETRY_S)
             return []
         return reply.attempts if isinstance(reply, EndsKept) else []
