Prove the promises by scripted failures and a model check

Cause: two planted bugs were not found by fuzzing in reasonable time, and a check that can't fail proves nothing.

Change: thirteen scripted failures, of which twelve also run with their guard taken out and must then fail; a model of ownership, fencing and dispatch in spec/, with a variant per guard. A draining daemon stopped following who owns what, so callers that waited on it got no answer: it now follows until it leaves. Test steps run between two moments at which nothing else can run, since the order of tasks depended on the calling thread.

--- a/features/__main__.py
+++ b/features/__main__.py
@@ -8,7 +8,7 @@
 import sys
 from pathlib import Path
 
-from features.runner import Tally, run_scenarios
+from features.runner import Tally, run_machine, run_scenarios, run_specs
 
 _KNOWN_RED = Path(__file__).parent.parent / 'KNOWN-RED.txt'
 
@@ -29,6 +29,9 @@
     """Run everything and return the exit status."""
     logging.disable(logging.CRITICAL)
     tally = Tally()
+    if not paths:
+        run_specs(tally)
+        run_machine(tally)
     run_scenarios(tally, paths)
     allowed = known_red()
     for name in tally.failed:
--- a/features/planted.py
+++ b/features/harness/guards.py
@@ -1,42 +1,30 @@
-"""Planted bugs, one per promise: the oracle must find each of them.
+"""Guards of the promises, and how to take each one out of the real code.
 
-Each plant takes one guard out of the real code while a fuzzing run goes on.
+A script that passes with its guard must fail without it: that shows that the
+checks can fail.
 """
 
 import contextlib
-import sys
 from collections.abc import Callable, Generator
 from typing import Any
 from unittest import mock
 
-import msgspec
-from hypothesis import HealthCheck, Phase, seed, settings
-from hypothesis.stateful import run_state_machine_as_test
+import trio
 
 from cyclamentrack import book, defaults, dispatch, fleet
+from cyclamentrack.coordinator import Coordinator
 from cyclamentrack.ledger import Ledger
 from cyclamentrack.membership import Membership
+from cyclamentrack.ownership import Ownership
 from cyclamentrack.ports import Absent
+from cyclamentrack.upstream import Upstream
 from cyclamentrack.work import Outcome, Work
 from cyclamentrack.works import Works
 from cyclamentrack_standins.worker import StandinWorker
-from features.harness.machine import CellMachine
-
-_EXAMPLES = 300
-_STEPS = 30
-_SEED = 7
 
 Patch = Callable[[], contextlib.AbstractContextManager[Any]]
 
 
-class Plant(msgspec.Struct, frozen=True, kw_only=True):
-    """One bug and the promise that it breaks."""
-
-    name: str
-    promise: str
-    patch: Patch
-
-
 @contextlib.contextmanager
 def _no_conditional_commit() -> Generator[None]:
     def alive(membership: Membership) -> Absent:
@@ -128,69 +116,57 @@
         yield
 
 
-PLANTS = (
-    Plant(
-        name='commits do not depend on the own row',
-        promise='accepted work never vanishes',
-        patch=_no_conditional_commit,
-    ),
-    Plant(
-        name='workers take commands of any epoch',
-        promise='a task never runs in two places at once',
-        patch=_no_seal,
-    ),
-    Plant(
-        name='starts are sent before the intent is durable',
-        promise='non-idempotent work runs at most once',
-        patch=_start_before_intent,
-    ),
-    Plant(
-        name='a silent worker counts as lost at once',
-        promise='a task never runs in two places at once',
-        patch=_no_lease_margin,
-    ),
-    Plant(
-        name='holds are not charged',
-        promise='no worker is given more than it has',
-        patch=_free_room,
-    ),
-    Plant(
-        name='a refused accept stays on record',
-        promise='told not run means not run',
-        patch=_false_refusal,
-    ),
-    Plant(
-        name='lost non-idempotent work runs again',
-        promise='non-idempotent work runs at most once',
-        patch=_rerun_lost,
-    ),
-    Plant(
-        name='ends are dropped before they are on record',
-        promise='accepted work never vanishes',
-        patch=_forget_early,
-    ),
-)
-
-
-def is_found(plant: Plant) -> bool:
-    """Tell whether fuzzing with a planted bug fails, as it must."""
-    machine = seed(_SEED)(CellMachine)
-    limits = settings(
-        max_examples=_EXAMPLES,
-        stateful_step_count=_STEPS,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-        phases=(Phase.generate,),
-        report_multiple_bugs=False,
-    )
-    with plant.patch():
-        try:
-            run_state_machine_as_test(machine, settings=limits)
-        except AssertionError as found:
-            sys.stdout.write(f'  found: {plant.name}: {str(found)[:80]}\n')
-            return True
-    sys.stdout.write(f'  NOT FOUND: {plant.name}\n')
-    return False
+@contextlib.contextmanager
+def _stay_open() -> Generator[None]:
+    def ignore(upstream: Upstream, leaving: bool) -> None:
+        del upstream, leaving
+
+    never = property(lambda upstream: False, ignore)
+    with mock.patch.object(Upstream, 'leaving', never, create=True):
+        yield
+
+
+@contextlib.contextmanager
+def _place_some() -> Generator[None]:
+    def missing(needs: list[Any], grants: list[Any]) -> list[Any]:
+        del needs, grants
+        return []
+
+    with mock.patch.object(dispatch, '_missing', missing):
+        yield
+
+
+@contextlib.contextmanager
+def _no_stop() -> Generator[None]:
+    def stop_placed(coordinator: Coordinator, record: Any) -> None:
+        del coordinator, record
+
+    with mock.patch.object(Coordinator, '_stop_placed', stop_placed):
+        yield
+
+
+@contextlib.contextmanager
+def _blind_drain() -> Generator[None]:
+    async def run(ownership: Ownership) -> None:
+        while not ownership._draining:
+            await ownership._round()
+            await trio.sleep(defaults.CLAIM_INTERVAL_S)
+
+    with mock.patch.object(Ownership, 'run', run):
+        yield
 
 
+GUARDS: dict[str, Patch] = {
+    'commits depend on the own row': _no_conditional_commit,
+    'a seal refuses what is older': _no_seal,
+    'the intent is durable before the start': _start_before_intent,
+    'a silent worker is waited for': _no_lease_margin,
+    'holds are charged': _free_room,
+    'a refused accept is taken back': _false_refusal,
+    'lost work of unknown outcome stays so': _rerun_lost,
+    'an end is kept until it is on record': _forget_early,
+    'a leaving worker is closed': _stay_open,
+    'a gang is placed whole': _place_some,
+    'a stop follows a cancel': _no_stop,
+    'a draining daemon follows the owners': _blind_drain,
+}
--- a/features/harness/loop.py
+++ b/features/harness/loop.py
@@ -19,7 +19,8 @@
     def __init__(self, *, seed: int = 0) -> None:
         """Seed the order in which trio runs tasks."""
         _run._ALLOW_DETERMINISTIC_SCHEDULING = True
-        _run._r = random.Random(seed)
+        self._seed = seed
+        self._steps = 0
         self._clock = trio.testing.MockClock()
         self._started = threading.Event()
         self._token: Any = None
@@ -59,12 +60,20 @@
     async def _step(
         self, step: Callable[..., Awaitable[Any]], *arguments: Any
     ) -> Any:
+        """Run a step between two moments at which nothing else can run.
+
+        Another thread calls, so without that the order of tasks would depend
+        on when the call comes in.
+        """
+        self._steps += 1
+        _run._r = random.Random(f'{self._seed}/{self._steps}')
         self._clock.autojump_threshold = 0
         try:
             with trio.fail_after(_STEP_LIMIT_S):
                 return await step(*arguments)
         finally:
             self._clock.autojump_threshold = _FOREVER
+            await trio.testing.wait_all_tasks_blocked()
 
     def _main(self) -> None:
         try:
--- a/features/harness/oracle.py
+++ b/features/harness/oracle.py
@@ -34,10 +34,12 @@
         promise = self.promises[answer.id]
         if answer.view is not None:
             promise.accepted = True
+            promise.refused_as_not_run = False
             self._check_view(promise, answer)
-        elif answer.problem is not None:
-            if answer.problem.ran is Ran.NO and not promise.accepted:
-                promise.refused_as_not_run = True
+            return
+        ran = answer.problem.ran if answer.problem else Ran.UNKNOWN
+        if ran is Ran.NO and not promise.accepted:
+            promise.refused_as_not_run = True
 
     def check_always(self) -> None:
         """Check what must hold at every moment."""
@@ -71,10 +73,9 @@
     def _check_view(self, promise: Promise, answer: Answer) -> None:
         view = answer.view
         starts = self._recorder.starts_of(answer.id)
-        if view.ran is Ran.NO:
-            if view.stage is Stage.CANCELLED:
-                assert starts == 0, f'{answer.id} ran before its cancel'
-                promise.refused_as_not_run = True
+        if view.ran is Ran.NO and view.stage is Stage.CANCELLED:
+            assert starts == 0, f'{answer.id} ran before its cancel'
+            promise.refused_as_not_run = True
         assert view.tasks == promise.work.tasks
 
     def _check_stage(self, promise: Promise, answer: Answer) -> None:
@@ -86,7 +87,9 @@
         ]
         if stage is Stage.SUCCEEDED:
             assert all(completions), f'{work.id}: {completions}'
-            expected = [f'done {work.id}#{index}#' for index in range(work.tasks)]
+            expected = [
+                f'done {work.id}#{index}#' for index in range(work.tasks)
+            ]
             pairs = zip(answer.view.answers, expected, strict=True)
             assert all(got.startswith(want) for got, want in pairs), answer
         if stage is Stage.CANCELLED:
--- a/features/runner.py
+++ b/features/runner.py
@@ -1,5 +1,7 @@
 """Runs behave in this process and counts its scenarios."""
 
+import sys
+import traceback
 from pathlib import Path
 
 import msgspec
@@ -7,6 +9,11 @@
 from behave.model import Scenario
 from behave.runner import Runner
 
+from features.fuzz import run_fuzz
+from features.harness.machine import CellMachine
+from spec.checks import check_all
+
+_FUZZ_EXAMPLES = 60
 _FOLDER = Path(__file__).parent
 
 
@@ -21,9 +28,27 @@
         (self.passed if passed else self.failed).append(name)
 
 
+def run_machine(tally: Tally) -> None:
+    """Fuzz the daemons, the same examples each time."""
+    passed = True
+    try:
+        run_fuzz(CellMachine, examples=_FUZZ_EXAMPLES)
+    except Exception:  # noqa: BLE001
+        traceback.print_exc()
+        passed = False
+    tally.add('stateful fuzzing', passed=passed)
+
+
+def run_specs(tally: Tally) -> None:
+    """Check each model, and that each of its guards is needed."""
+    for verdict in check_all():
+        sys.stdout.write(f'{verdict.summary}\n')
+        tally.add(f'spec: {verdict.name}', passed=verdict.passed)
+
+
 def run_scenarios(tally: Tally, paths: list[str]) -> None:
     """Run all scenarios, or those under some paths."""
-    arguments = ['--format', 'progress', '--no-capture', '--no-summary']
+    arguments = ['--format', 'progress3', '--no-capture', '--no-summary']
     targets = paths or [str(_FOLDER)]
     configuration = Configuration([*arguments, *targets])
     runner = Runner(configuration)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/network.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/network.py
@@ -41,6 +41,7 @@
         self._random = random.Random(seed)  # ruff: ignore[suspicious-non-cryptographic-random-usage]
         self._resumed: dict[str, trio.Event] = {}
         self._cut: set[frozenset[str]] = set()
+        self._slow: dict[tuple[str, str], float] = {}
         self._dead: set[str] = set()
         self.faults = NetworkFaults()
 
@@ -58,9 +59,14 @@
         """Lose every message between two ends."""
         self._cut.add(frozenset((one, other)))
 
+    def slow(self, one: str, other: str, seconds: float) -> None:
+        """Delay every request from one end to another."""
+        self._slow[one, other] = seconds
+
     def mend(self) -> None:
-        """Undo all cuts."""
+        """Undo all cuts and delays."""
         self._cut.clear()
+        self._slow.clear()
 
     def kill(self, end: str) -> None:
         """Lose every message to and from an end for good."""
@@ -109,7 +115,9 @@
             await trio.sleep(faults.late_s)
             send.send_nowait(SilenceError())
             return
-        late = faults.late_s if self._happens(faults.late) else 0
+        late = self._slow.get((source, target), 0)
+        if self._happens(faults.late):
+            late += faults.late_s
         await trio.sleep(faults.delay_s * self._random.random() + late)
         twice = self._happens(faults.doubled)
         reply = await self._handle(source, target, handler)
@@ -126,8 +134,9 @@
         target: str,
         handler: Callable[[], Awaitable[_Reply]],
     ) -> _Reply | Exception:
+        """Run the handler: what is on its way outlives a dead sender."""
         await self.thawed(target)
-        if self._is_cut(source, target):
+        if target in self._dead:
             return SilenceError()
         try:
             return await handler()
--- a/packages/cyclamentrack/cyclamentrack/audit.py
+++ b/packages/cyclamentrack/cyclamentrack/audit.py
@@ -109,6 +109,26 @@
         async with self._flushing:
             await self._write_batch()
 
+    async def read(
+        self, *, subject: str = '', since: float = 0, limit: int = 1000
+    ) -> list[AuditEntry]:
+        """Return entries of all daemons in order of time."""
+        await self.flush()
+        floor = f'audit/{max(int(since) - 60, 0):012d}'
+        names = await self._store.names(prefix='audit/')
+        found: list[AuditEntry] = []
+        for name in names:
+            if name < floor:
+                continue
+            body = await self._store.fetch(key=name)
+            if body is not None:
+                found.extend(_matching(body, subject, since))
+        unique = {
+            (entry.daemon, entry.number, entry.at): entry for entry in found
+        }
+        ordered = sorted(unique.values(), key=lambda entry: entry.at)
+        return ordered[-limit:]
+
     async def _write_batch(self) -> None:
         entries = list(self._buffer)
         if not entries:
@@ -130,26 +150,6 @@
         for _ in entries:
             self._buffer.popleft()
 
-    async def read(
-        self, *, subject: str = '', since: float = 0, limit: int = 1000
-    ) -> list[AuditEntry]:
-        """Return entries of all daemons in order of time."""
-        await self.flush()
-        floor = f'audit/{max(int(since) - 60, 0):012d}'
-        names = await self._store.names(prefix='audit/')
-        found: list[AuditEntry] = []
-        for name in names:
-            if name < floor:
-                continue
-            body = await self._store.fetch(key=name)
-            if body is not None:
-                found.extend(_matching(body, subject, since))
-        unique = {
-            (entry.daemon, entry.number, entry.at): entry for entry in found
-        }
-        ordered = sorted(unique.values(), key=lambda entry: entry.at)
-        return ordered[-limit:]
-
 
 def _matching(body: bytes, subject: str, since: float) -> list[AuditEntry]:
     batch = decode(body, _Batch)
--- a/packages/cyclamentrack/cyclamentrack/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/fleet.py
@@ -142,10 +142,10 @@
 
     def close(self, partition: PartitionId) -> None:
         """Place nothing more on a partition's workers, before it is let go."""
-        for worker, upstream in self._upstreams.items():
+        for upstream in self._upstreams.values():
             if self.partition(upstream.instance.rack) == partition:
                 upstream.leaving = True
-                self.ledger.close(worker)
+                self._open_or_close(upstream)
 
     def let_go(self, partition: PartitionId) -> None:
         """Own a partition's workers no more."""
@@ -301,7 +301,7 @@
                 self._adopt(instance)
             elif instance.state is InstanceState.LEAVING:
                 upstream.leaving = True
-                self.ledger.close(instance.id)
+                self._open_or_close(upstream)
         for worker, upstream in list(self._upstreams.items()):
             gone = worker not in self._listed
             if gone and upstream.state is UpstreamState.LOST:
--- a/packages/cyclamentrack/cyclamentrack/ownership.py
+++ b/packages/cyclamentrack/cyclamentrack/ownership.py
@@ -156,8 +156,12 @@
         )
 
     async def run(self) -> None:
-        """Claim, recover and hand over partitions until cancelled."""
-        while not self._draining:
+        """Claim, recover and hand over partitions until cancelled.
+
+        A draining daemon still follows who owns what, for the requests that
+        it has in flight.
+        """
+        while True:
             try:
                 await self._round()
             except StoreUncertainError:
@@ -214,7 +218,7 @@
 
     async def _round(self) -> None:
         await self.refresh()
-        if not self._membership.valid:
+        if self._draining or not self._membership.valid:
             return
         live = self._live()
         if not live:
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Model checks of the core protocol."""
--- /dev/null
+++ b/spec/checks.py
@@ -0,0 +1,105 @@
+"""Checks the model whole, and each variant that lacks a guard."""
+
+from functools import partial
+
+import msgspec
+from minicheck import Protocol, check_safety
+
+from spec.model import Guard, Rules, State, violations
+
+_MAX_STATES = 2_000_000
+_PROMISES = ('two places', 'run twice', 'told not run')
+
+
+class SpecVerdict(msgspec.Struct, frozen=True, kw_only=True):
+    """The outcome of one check; a variant passes when it is refuted."""
+
+    name: str
+    passed: bool
+    summary: str
+
+
+def build_protocol(rules: Rules) -> Protocol:
+    """Return the model in the checker's form."""
+
+    def keeps(promise: str, found: dict[str, object]) -> bool:
+        state = State(**found)
+        return promise not in violations(state, idempotent=rules.idempotent)
+
+    return Protocol(
+        name='one task',
+        candidate=False,
+        fields=State._fields,
+        initial=State(),
+        transitions=rules.moves,
+        invariants={promise: partial(keeps, promise) for promise in _PROMISES},
+    )
+
+
+def check_all() -> list[SpecVerdict]:
+    """Check both kinds of task, and one variant per guard."""
+    verdicts = [
+        _check_whole(Rules(idempotent=idempotent))
+        for idempotent in (False, True)
+    ]
+    verdicts.extend(_check_variant(guard) for guard in Guard)
+    return verdicts
+
+
+def _check_whole(rules: Rules) -> SpecVerdict:
+    kind = 'idempotent' if rules.idempotent else 'non-idempotent'
+    outcome = check_safety(build_protocol(rules), max_states=_MAX_STATES)
+    properties = outcome['properties']
+    holds = all(properties[name]['holds'] is True for name in _PROMISES)
+    broken = [name for name in _PROMISES if not properties[name]['holds']]
+    detail = 'all hold' if holds else f'not shown: {broken}'
+    return SpecVerdict(
+        name=f'{kind} task',
+        passed=holds,
+        summary=(
+            f'spec {kind} task: {detail}, '
+            f'{outcome["reachable_states"]} states explored, '
+            f'depth {depth(rules)}'
+        ),
+    )
+
+
+def _check_variant(guard: Guard) -> SpecVerdict:
+    """Refute a variant, with the shortest trace over both kinds of task."""
+    traces: list[list[object]] = []
+    states = 0
+    for idempotent in (False, True):
+        rules = Rules(idempotent=idempotent, without=frozenset((guard,)))
+        outcome = check_safety(build_protocol(rules), max_states=_MAX_STATES)
+        states += outcome['reachable_states']
+        found = [outcome['properties'][name] for name in _PROMISES]
+        traces.extend(
+            one['counterexample'] for one in found if one['holds'] is False
+        )
+    shortest = min((len(trace) - 1 for trace in traces), default=0)
+    refuted = 'refuted' if traces else 'NOT REFUTED'
+    return SpecVerdict(
+        name=f'without: {guard.value}',
+        passed=bool(traces),
+        summary=(
+            f'spec without "{guard.value}": {refuted} in {shortest} moves, '
+            f'{states} states explored'
+        ),
+    )
+
+
+def depth(rules: Rules) -> int:
+    """Return the longest of the shortest ways to any reachable state."""
+    level = {State()}
+    seen = set(level)
+    deepest = -1
+    while level:
+        deepest += 1
+        level = {
+            following
+            for state in level
+            for _, following in rules.moves(state)
+            if following not in seen
+        }
+        seen |= level
+    return deepest
