Place by balanced rest, key peers by incarnation, keep tombstones

The old index also gave up after 96 seeks although workers with room were left.

Change: peers are told apart by incarnation, not by name.

Cause, tombstones: a reserve that met silence was never cancelled, so its room leaked until it expired. Change: it is released, which leaves a tombstone.

Lookups moved out of the fleet into a module of their own; a lookup whose caller gives up now seals its slot instead of leaking it.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m bench NAME [--json]``."""
--- a/packages/cyclamentrack/cyclamentrack/cellview.py
+++ b/packages/cyclamentrack/cyclamentrack/cellview.py
@@ -11,7 +11,7 @@
 import trio
 
 from cyclamentrack import defaults
-from cyclamentrack.ids import DaemonId, PoolName, Revision, TeamName
+from cyclamentrack.ids import Incarnation, PoolName, TeamName
 from cyclamentrack.messages import PoolSummary, Summary
 from cyclamentrack.resources import Resources
 
@@ -29,31 +29,31 @@
 
     def __init__(self, *, seed: int) -> None:
         """Know of no peer; ``seed`` feeds the choice among equals."""
-        self._entries: dict[DaemonId, _Entry] = {}
+        self._entries: dict[Incarnation, _Entry] = {}
         self._random = random.Random(seed)  # ruff: ignore[suspicious-non-cryptographic-random-usage]
 
     def take(self, summary: Summary) -> None:
         """Keep a peer's newest summary."""
-        self._entries[summary.daemon] = _Entry(
+        self._entries[summary.incarnation] = _Entry(
             summary=summary,
             at=trio.current_time(),
         )
 
-    def forget(self, daemon: DaemonId) -> None:
+    def forget(self, peer: Incarnation) -> None:
         """Drop what is known of a peer that gave no answer."""
-        self._entries.pop(daemon, None)
+        self._entries.pop(peer, None)
 
     def candidates(
         self, pool: PoolName, need: Resources, *, slots: int = 0
-    ) -> list[DaemonId]:
+    ) -> list[Incarnation]:
         """Return the peers that probably have the room, likeliest first.
 
         Two are drawn at random and the roomier one goes first, so that many
         daemons with the same summaries don't all turn to the same peer.
         """
         fitting = [
-            (entry, daemon)
-            for daemon, entry in self._entries.items()
+            (entry, peer)
+            for peer, entry in self._entries.items()
             if self._is_fresh(entry) and _has_room(entry, pool, need, slots)
         ]
         self._random.shuffle(fitting)
@@ -61,11 +61,11 @@
             fitting[:2],
             key=lambda pair: -_spare(pair[0], pool),
         )
-        return [daemon for _, daemon in [*first_two, *fitting[2:]]]
+        return [peer for _, peer in [*first_two, *fitting[2:]]]
 
-    def charge(self, daemon: DaemonId, cores: int) -> None:
+    def charge(self, peer: Incarnation, cores: int) -> None:
         """Count room as taken until the peer's next summary."""
-        entry = self._entries.get(daemon)
+        entry = self._entries.get(peer)
         if entry is not None:
             entry.charged_cores += cores
 
@@ -79,13 +79,6 @@
             if usage.team == team
         ]
 
-    def revisions(self) -> dict[DaemonId, Revision]:
-        """Return the configuration that each peer has in force."""
-        return {
-            daemon: entry.summary.revision
-            for daemon, entry in self._entries.items()
-        }
-
     def _is_fresh(self, entry: _Entry) -> bool:
         limit = defaults.SUMMARY_INTERVAL_S * _FRESH_INTERVALS
         return trio.current_time() - entry.at < limit
--- a/packages/cyclamentrack/cyclamentrack/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/dispatch.py
@@ -6,8 +6,9 @@
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import islice
+from typing import Any
 
 import msgspec
 import trio
@@ -21,7 +22,7 @@
 from cyclamentrack.fleet import Fleet
 from cyclamentrack.ids import (
     AttemptId,
-    DaemonId,
+    Incarnation,
     PartitionId,
     WorkId,
     attempt_id,
@@ -35,10 +36,9 @@
     Grant,
     Need,
     Origin,
+    Release,
     Reserve,
     Reserved,
-    Revocation,
-    Revoke,
 )
 from cyclamentrack.ownership import Ownership
 from cyclamentrack.ports import Peers
@@ -270,7 +270,7 @@
 
     async def _confirm_all(self, grants: list[Grant]) -> None:
         """Confirm grants whose works are still here and still wanted."""
-        by_agent: dict[tuple[DaemonId | None, PartitionId], list[Grant]] = {}
+        by_agent: dict[tuple[Incarnation | None, PartitionId], list[Grant]] = {}
         for grant in grants:
             record = self._record(grant)
             if record is None:
@@ -283,7 +283,7 @@
                 self._fleet.partition(grant.site.rack),
             )
             key = (
-                agent.daemon if agent else None,
+                agent.incarnation if agent else None,
                 self._works.partition(record.work.id),
             )
             by_agent.setdefault(key, []).append(grant)
@@ -307,7 +307,7 @@
         if agent is None:
             self._ask_all(grants)
             return
-        if agent.daemon == self._membership.me.daemon:
+        if self._membership.is_me(agent):
             confirmed = self._fleet.confirm(request)
         else:
             reply = await self._call(agent, request)
@@ -336,7 +336,7 @@
                 timeout_s=defaults.PEER_CALL_TIMEOUT_S,
             )
         except PeerSilentError:
-            self._view.forget(agent.daemon)
+            self._view.forget(agent.incarnation)
             return None
 
     # Room at peers
@@ -348,14 +348,14 @@
             return
         candidates = self._view.candidates(lane.key.pool, lane.key.resources)
         records = list(islice(lane.works.values(), _SPILL_NEEDS))
-        for daemon in candidates[:_SPILL_PEERS]:
-            await self._spill_to(daemon, records, nursery)
+        for peer in candidates[:_SPILL_PEERS]:
+            await self._spill_to(peer, records, nursery)
             if not lane.works:
                 return
 
     async def _spill_to(
         self,
-        daemon: DaemonId,
+        peer: Incarnation,
         records: list[WorkRecord],
         nursery: trio.Nursery,
     ) -> None:
@@ -368,7 +368,7 @@
         for partition, needs in by_partition.items():
             if needs:
                 grants = await self._reserve_at(
-                    daemon,
+                    peer,
                     partition,
                     needs[:_SPILL_NEEDS],
                     partial=False,
@@ -377,18 +377,18 @@
 
     async def _reserve_at(
         self,
-        daemon: DaemonId,
+        peer: Incarnation,
         partition: PartitionId,
         needs: list[Need],
         *,
         partial: bool,
     ) -> list[Grant]:
         """Try to reserve at a peer; silence means that a cancel follows."""
-        agent = self._member(daemon)
+        agent = self._membership.find(peer)
         if agent is None or self._ownership.epoch(partition) is None:
             return []
         for need in needs:
-            self._view.charge(daemon, need.resources.milli_cores)
+            self._view.charge(peer, need.resources.milli_cores)
         request = Reserve(
             origin=self._ownership.origin(partition),
             needs=needs,
@@ -398,6 +398,8 @@
         reply = await self._call(agent, request)
         if isinstance(reply, Reserved):
             return reply.grants
+        attempts = [need.attempt for need in needs]
+        self._start_soon(self._release, agent, partition, attempts)
         return []
 
     def _count_tries(self, needs: list[Need]) -> None:
@@ -442,28 +444,29 @@
 
     async def _cancel(self, grants: list[Grant]) -> None:
         """Give back reservations that are not used; expiry does the rest."""
+        groups: dict[tuple[PartitionId, PartitionId], list[AttemptId]] = {}
         for grant in grants:
             work, _, _ = split_attempt(grant.attempt)
-            partition = self._works.partition(work)
-            agent = self._ownership.owner(
-                self._fleet.partition(grant.site.rack),
-            )
-            if agent is None or self._ownership.epoch(partition) is None:
-                continue
-            request = Revoke(
-                origin=self._ownership.origin(partition),
-                revocations=[
-                    Revocation(
-                        attempt=grant.attempt,
-                        site=grant.site,
-                        stop=True,
-                    ),
-                ],
-            )
-            if agent.daemon == self._membership.me.daemon:
-                self._fleet.revoke(request)
-            else:
-                await self._call(agent, request)
+            rack = self._fleet.partition(grant.site.rack)
+            key = (self._works.partition(work), rack)
+            groups.setdefault(key, []).append(grant.attempt)
+        for (partition, rack), attempts in groups.items():
+            agent = self._ownership.owner(rack)
+            if agent is not None:
+                await self._release(agent, partition, attempts)
+
+    async def _release(
+        self, agent: Member, partition: PartitionId, attempts: list[AttemptId]
+    ) -> None:
+        if self._ownership.epoch(partition) is None:
+            return
+        request = Release(
+            origin=self._ownership.origin(partition), attempts=attempts
+        )
+        if self._membership.is_me(agent):
+            self._fleet.release(request)
+        else:
+            await self._call(agent, request)
 
     async def _spill_gang(self, lane: Lane, nursery: trio.Nursery) -> None:
         """Reserve a gang's tasks here and at peers: all of them or none.
@@ -480,13 +483,13 @@
         self._count_tries(needs)
         partition = self._works.partition(record.work.id)
         grants: list[Grant] = []
-        me = self._membership.me.daemon
+        me = self._membership.me.incarnation
         names = self._view.candidates(lane.key.pool, lane.key.resources)
-        for daemon in sorted([*names, me]):
+        for peer in sorted([*names, me]):
             missing = _missing(needs, grants)
             if not missing:
                 break
-            if daemon == me:
+            if peer == me:
                 request = Reserve(
                     origin=self._ownership.origin(partition),
                     needs=missing,
@@ -496,7 +499,7 @@
                 continue
             grants.extend(
                 await self._reserve_at(
-                    daemon,
+                    peer,
                     partition,
                     missing,
                     partial=True,
@@ -509,11 +512,9 @@
 
     # Small helpers
 
-    def _member(self, daemon: DaemonId) -> Member | None:
-        for member in self._membership.members:
-            if member.daemon == daemon:
-                return member
-        return None
+    def _start_soon(self, step: Callable[..., Any], *arguments: Any) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(step, *arguments)
 
     def _origin(self, record: WorkRecord) -> Origin:
         return self._ownership.origin(self._works.partition(record.work.id))
--- a/packages/cyclamentrack/cyclamentrack/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/fleet.py
@@ -7,19 +7,11 @@
 
 import logging
 from collections.abc import Callable
-from itertools import count
 
 import trio
 
 from cyclamentrack import defaults
-from cyclamentrack.errors import (
-    ErrorKind,
-    Problem,
-    Ran,
-    StoreUncertainError,
-    WorkerRefusedError,
-    WorkerSilentError,
-)
+from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.health import Health
 from cyclamentrack.ids import (
     AttemptId,
@@ -27,6 +19,7 @@
     Epoch,
     PartitionId,
     WorkerId,
+    is_lookup,
 )
 from cyclamentrack.ledger import Ledger
 from cyclamentrack.messages import (
@@ -34,8 +27,8 @@
     Confirmation,
     Confirmed,
     Grant,
-    LookupDone,
     Need,
+    Release,
     Reserve,
     Reserved,
     Revocation,
@@ -51,19 +44,17 @@
     Instance,
     Instances,
     InstanceState,
-    Lookup,
     StartCommand,
     Usage,
     Workers,
 )
-from cyclamentrack.reservations import Reservation, ReservationBook
+from cyclamentrack.reservations import ReservationBook
 from cyclamentrack.upstream import Upstream, UpstreamEvents, UpstreamState
-from cyclamentrack.work import Kind, Outcome, Work, partition_of
+from cyclamentrack.work import Outcome, partition_of
 
 _log = logging.getLogger(__name__)
 
 _EXPIRY_INTERVAL_S = 1.0
-_LOOKUP_MARK = '#lookup#'
 _LOST_AFTER_S = (
     defaults.OUTAGE_GRACE_S
     + defaults.WORKER_LEASE_S
@@ -107,13 +98,10 @@
         self._workloads: dict[AttemptId, str] = {}
         self._ends: dict[AttemptId, Settlement] = {}
         self._end_sites: dict[AttemptId, WorkerId] = {}
-        self._reservations = ReservationBook(tombstones=tombstones)
-        self._lookups = count(1)
-        self._lookups_running: dict[PartitionId, int] = {}
+        self.reservations = ReservationBook(tombstones=tombstones)
         self.ledger = Ledger()
         self.health = Health()
         self.ends_changed = trio.Event()
-        self.lookups_late = 0
 
     @property
     def upstreams(self) -> list[Upstream]:
@@ -159,21 +147,33 @@
         """Return the partition of a rack."""
         return partition_of(rack, self._partitions)
 
-    def has_lookups(self, partition: PartitionId) -> bool:
-        """Tell whether lookups run on a partition's workers."""
-        return bool(self._lookups_running.get(partition))
+    def upstream(self, worker: WorkerId) -> Upstream | None:
+        """Return the conversation with a worker owned here, or ``None``."""
+        return self._upstreams.get(worker)
+
+    def stop_lookup(self, key: AttemptId, worker: WorkerId) -> None:
+        """Seal a lookup that got no answer; its slot stays taken until then."""
+        upstream = self._upstreams.get(worker)
+        if upstream is not None and self.ledger.holder(key):
+            self._started[key] = worker
+            upstream.stop(key)
+
+    def free(self, key: str) -> None:
+        """Give the room of a hold back."""
+        self.ledger.release(AttemptId(key))
+        self._room_changed()
 
     # Reservations
 
     def reserve(self, request: Reserve) -> Reserved:
         """Hold room for as many needs as there is room for."""
-        if self._reservations.is_stale(request.origin):
+        if self.reservations.is_stale(request.origin):
             return Reserved(grants=[])
         needs = [need for need in request.needs if self._is_new(need.attempt)]
         choices = place(self.ledger, needs, partial=request.partial)
         grants = self._old_grants(request.needs)
         for choice in choices:
-            self._reservations.grant(
+            self.reservations.grant(
                 need=choice.need,
                 site=choice.site,
                 origin=request.origin,
@@ -183,9 +183,18 @@
             )
         return Reserved(grants=grants)
 
+    def release(self, request: Release) -> None:
+        """Give reservations back; one that comes later is refused."""
+        if self.reservations.is_stale(request.origin):
+            return
+        for attempt in request.attempts:
+            reservation = self.reservations.cancel(attempt)
+            if reservation is not None:
+                self.free(reservation.need.attempt)
+
     def confirm(self, request: Confirm) -> Confirmed:
         """Start reserved attempts; return those that can't be started."""
-        stale = self._reservations.is_stale(request.origin)
+        stale = self.reservations.is_stale(request.origin)
         refused = [
             entry.attempt
             for entry in request.confirmations
@@ -197,7 +206,7 @@
         """Tell what is known of attempts; stop or seal them if asked."""
         ended: list[Settlement] = []
         running: list[AttemptId] = []
-        if self._reservations.is_stale(request.origin):
+        if self.reservations.is_stale(request.origin):
             return Settled(ended=[], running=[])
         for entry in request.revocations:
             known = self._settle(entry)
@@ -222,65 +231,6 @@
             if upstream is not None:
                 upstream.forget(attempt)
 
-    # Lookups
-
-    async def lookup(self, work: Work, timeout_s: float) -> LookupDone:
-        """Run a lookup on a worker owned here.
-
-        The slot of a lookup that got no answer stays taken until the worker
-        has said that it doesn't run.
-        """
-        key = AttemptId(f'{work.id}{_LOOKUP_MARK}{next(self._lookups)}')
-        need = Need(
-            attempt=key,
-            kind=Kind.LOOKUP,
-            pool=work.pool,
-            resources=work.resources,
-            run_s=work.run_s,
-        )
-        choices = place(self.ledger, [need])
-        if not choices:
-            return LookupDone(problem=no_slot(work))
-        worker = choices[0].site.worker
-        partition = self.partition(choices[0].site.rack)
-        self._count_lookup(partition, 1)
-        try:
-            answer = await self._ask(worker, key, work, timeout_s)
-        except (WorkerSilentError, WorkerRefusedError):
-            self._seal_lookup(worker, key)
-            return LookupDone(problem=_unanswered(work))
-        finally:
-            self._count_lookup(partition, -1)
-        self.ledger.release(key)
-        self._room_changed()
-        return LookupDone(answer=answer)
-
-    async def _ask(
-        self, worker: WorkerId, key: AttemptId, work: Work, timeout_s: float
-    ) -> str:
-        return await self._upstreams[worker].lookup(
-            key=key,
-            need=Lookup(
-                epoch=Epoch(0),
-                token=0,
-                id=key,
-                resources=work.resources,
-                payload=work.payload,
-            ),
-            timeout_s=timeout_s,
-        )
-
-    def _count_lookup(self, partition: PartitionId, change: int) -> None:
-        running = self._lookups_running.get(partition, 0) + change
-        self._lookups_running[partition] = running
-
-    def _seal_lookup(self, worker: WorkerId, key: AttemptId) -> None:
-        self.lookups_late += 1
-        upstream = self._upstreams.get(worker)
-        if upstream is not None and self.ledger.holder(key):
-            self._started[key] = worker
-            upstream.stop(key)
-
     # Instances
 
     async def _list_once(self) -> None:
@@ -334,7 +284,7 @@
         upstream.close()
         for key in self.ledger.holds_on(worker):
             self._started.pop(AttemptId(key), None)
-            self._reservations.take(AttemptId(key))
+            self.reservations.take(AttemptId(key))
         self.ledger.remove(worker)
 
     # What workers say
@@ -351,9 +301,9 @@
         reported = {report.attempt for report in reports}
         for key in self.ledger.holds_on(worker):
             attempt = AttemptId(key)
-            if attempt in reported or (_is_lookup(attempt) and not rebooted):
+            if attempt in reported or (is_lookup(attempt) and not rebooted):
                 continue
-            self._reservations.take(attempt)
+            self.reservations.take(attempt)
             outcome = Outcome.LOST if rebooted else Outcome.NEVER
             self._finish(attempt, worker, outcome)
         row.boot = upstream.boot
@@ -417,7 +367,7 @@
         self._open_or_close(upstream)
         if upstream.state is UpstreamState.LOST:
             for key in self.ledger.holds_on(worker):
-                self._reservations.take(AttemptId(key))
+                self.reservations.take(AttemptId(key))
                 self._finish(AttemptId(key), worker, Outcome.LOST)
         self._room_changed()
 
@@ -437,7 +387,7 @@
         if released is not None:
             self._note_running(worker)
             self._room_changed()
-        if _is_lookup(attempt):
+        if is_lookup(attempt):
             self._forget_lookup(attempt, worker)
             return
         self._end_sites[attempt] = worker
@@ -461,9 +411,9 @@
             if entry.stop:
                 self._upstreams[self._started[attempt]].stop(attempt)
             return None
-        reservation = self._reservations.cancel(attempt)
+        reservation = self.reservations.cancel(attempt)
         if reservation is not None:
-            self._free(reservation)
+            self.free(reservation.need.attempt)
             return Settlement(attempt=attempt, outcome=Outcome.NEVER)
         return self._judge_unknown(attempt, entry.site)
 
@@ -494,16 +444,16 @@
         return Settlement(attempt=attempt, outcome=Outcome.LOST)
 
     def _start(self, entry: Confirmation, request: Confirm) -> bool:
-        reservation = self._reservations.find(entry.attempt)
+        reservation = self.reservations.find(entry.attempt)
         if reservation is None:
             return entry.attempt in self._started
         if reservation.origin.epoch != request.origin.epoch:
             return False
-        self._reservations.take(entry.attempt)
+        self.reservations.take(entry.attempt)
         worker = reservation.site.worker
         upstream = self._upstreams[worker]
         if upstream.state is not UpstreamState.READY:
-            self._free(reservation)
+            self.free(reservation.need.attempt)
             return False
         self._started[entry.attempt] = worker
         self._workloads[entry.attempt] = reservation.need.workload
@@ -520,29 +470,25 @@
 
     def _is_new(self, attempt: AttemptId) -> bool:
         return (
-            not self._reservations.is_refused(attempt)
-            and self._reservations.find(attempt) is None
+            not self.reservations.is_refused(attempt)
+            and self.reservations.find(attempt) is None
             and self.ledger.holder(attempt) is None
         )
 
     def _old_grants(self, needs: list[Need]) -> list[Grant]:
         """Return the grants of needs that were asked for before."""
-        held = [self._reservations.find(need.attempt) for need in needs]
+        held = [self.reservations.find(need.attempt) for need in needs]
         return [
             Grant(attempt=entry.need.attempt, site=entry.site)
             for entry in held
             if entry is not None
         ]
 
-    def _free(self, reservation: Reservation) -> None:
-        self.ledger.release(reservation.need.attempt)
-        self._room_changed()
-
     async def _expire_forever(self) -> None:
         while True:
             await trio.sleep(_EXPIRY_INTERVAL_S)
-            for reservation in self._reservations.expire():
-                self._free(reservation)
+            for reservation in self.reservations.expire():
+                self.free(reservation.need.attempt)
             for worker in self.health.quarantined:
                 if worker in self._upstreams:
                     self._open_or_close(self._upstreams[worker])
@@ -551,27 +497,3 @@
         upstream = self._upstreams.get(worker)
         if upstream is not None:
             upstream.note_running(len(self.ledger.holds_on(worker)))
-
-
-def _is_lookup(attempt: AttemptId) -> bool:
-    return _LOOKUP_MARK in attempt
-
-
-def no_slot(work: Work) -> Problem:
-    """Return what a caller is told when no slot is free for its lookup."""
-    return Problem(
-        kind=ErrorKind.OVERLOADED,
-        detail=f'pool {work.pool} has no free slot for the lookup',
-        remedy='send it again after the time given',
-        ran=Ran.NO,
-        retry_after_s=1,
-    )
-
-
-def _unanswered(work: Work) -> Problem:
-    return Problem(
-        kind=ErrorKind.UNSETTLED,
-        detail=f'the worker gave no answer to lookup {work.id}',
-        remedy='send it again; a lookup is idempotent',
-        ran=Ran.UNKNOWN,
-    )
--- a/packages/cyclamentrack/cyclamentrack/ids.py
+++ b/packages/cyclamentrack/cyclamentrack/ids.py
@@ -38,6 +38,8 @@
 Revision = NewType('Revision', int)
 """Position of an accepted ticket in the cell's order of changes."""
 
+_LOOKUP_MARK = '#lookup#'
+
 
 def attempt_id(*, work: WorkId, task: int, attempt: int) -> AttemptId:
     """Build the id of one attempt.
@@ -52,3 +54,13 @@
     """Return the work, task index and attempt number of an attempt id."""
     work, task, number = attempt.rsplit('#', 2)
     return WorkId(work), int(task), int(number)
+
+
+def lookup_id(*, work: WorkId, number: int) -> AttemptId:
+    """Build the id under which a lookup holds its slot."""
+    return AttemptId(f'{work}{_LOOKUP_MARK}{number}')
+
+
+def is_lookup(attempt: AttemptId) -> bool:
+    """Tell whether an id is that of a lookup and not of a task's attempt."""
+    return _LOOKUP_MARK in attempt
--- a/packages/cyclamentrack/cyclamentrack/ledger.py
+++ b/packages/cyclamentrack/cyclamentrack/ledger.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from cyclamentrack.ids import BootId, PoolName, WorkerId
-from cyclamentrack.index import RoomIndex, WorkerSlotRow
+from cyclamentrack.index import RoomIndex, RoomRow
 from cyclamentrack.messages import PoolSummary
 from cyclamentrack.ports import Instance
 from cyclamentrack.resources import NOTHING, Resources
@@ -29,7 +29,7 @@
 
     def __init__(self) -> None:
         """Start without workers."""
-        self._rows: dict[WorkerId, WorkerSlotRow] = {}
+        self._rows: dict[WorkerId, RoomRow] = {}
         self._open: set[WorkerId] = set()
         self._holds: dict[str, Hold] = {}
         self._held_on: dict[WorkerId, dict[str, None]] = {}
@@ -38,7 +38,7 @@
 
     def add(self, instance: Instance, *, boot: BootId) -> None:
         """Take a worker on, closed to new holds until it is opened."""
-        row = WorkerSlotRow(
+        row = RoomRow(
             id=instance.id,
             rack=instance.rack,
             zone=instance.zone,
@@ -121,11 +121,11 @@
         """Return the keys of the holds on a worker."""
         return list(self._held_on.get(worker, ()))
 
-    def row(self, worker: WorkerId) -> WorkerSlotRow | None:
+    def row(self, worker: WorkerId) -> RoomRow | None:
         """Return a worker's row, or ``None``."""
         return self._rows.get(worker)
 
-    def rows(self) -> Iterable[WorkerSlotRow]:
+    def rows(self) -> Iterable[RoomRow]:
         """Return the rows of all workers."""
         return self._rows.values()
 
@@ -137,7 +137,7 @@
         """Return the index of a pool's open workers, or ``None``."""
         return self._pools.get(pool)
 
-    def racks(self, pool: PoolName) -> Iterator[list[WorkerSlotRow]]:
+    def racks(self, pool: PoolName) -> Iterator[list[RoomRow]]:
         """Yield the open workers of each rack of a pool."""
         for (name, _), members in self._racks.items():
             if name != pool:
@@ -150,14 +150,12 @@
 
     def summaries(self) -> list[PoolSummary]:
         """Return the free room of each pool."""
-        by_pool: dict[PoolName, list[WorkerSlotRow]] = {}
+        by_pool: dict[PoolName, list[RoomRow]] = {}
         for row in self._rows.values():
             by_pool.setdefault(row.pool, []).append(row)
         return list(starmap(self._summary, by_pool.items()))
 
-    def _summary(
-        self, pool: PoolName, members: list[WorkerSlotRow]
-    ) -> PoolSummary:
+    def _summary(self, pool: PoolName, members: list[RoomRow]) -> PoolSummary:
         ready = [row for row in members if row.id in self._open]
         capacity = NOTHING
         for row in members:
@@ -186,16 +184,14 @@
             largest_worker=_largest([row.capacity for row in members]),
         )
 
-    def _charge(
-        self, row: WorkerSlotRow, resources: Resources, slots: int
-    ) -> None:
+    def _charge(self, row: RoomRow, resources: Resources, slots: int) -> None:
         row.cores -= resources.milli_cores
         row.memory -= resources.memory_mib
         row.accelerators -= resources.accelerators
         row.slots -= slots
         self._reindex(row)
 
-    def _reindex(self, row: WorkerSlotRow) -> None:
+    def _reindex(self, row: RoomRow) -> None:
         if row.id in self._open:
             self._pools[row.pool].put(row)
 
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/lookups.py
@@ -0,0 +1,112 @@
+"""Lookups: quick idempotent requests that are answered in one exchange.
+
+A lookup needs a slot and a little room, and no record anywhere.
+"""
+
+from itertools import count
+
+import trio
+
+from cyclamentrack.errors import (
+    ErrorKind,
+    Problem,
+    Ran,
+    WorkerRefusedError,
+    WorkerSilentError,
+)
+from cyclamentrack.fleet import Fleet
+from cyclamentrack.ids import AttemptId, Epoch, PartitionId, lookup_id
+from cyclamentrack.messages import LookupDone, Need, Site
+from cyclamentrack.placement import place
+from cyclamentrack.ports import Lookup
+from cyclamentrack.work import Kind, Work
+
+
+class LookupDesk:
+    """Runs lookups on the workers owned here."""
+
+    def __init__(self, *, fleet: Fleet) -> None:
+        """Run on the workers of a fleet."""
+        self._fleet = fleet
+        self._numbers = count(1)
+        self._running: dict[PartitionId, int] = {}
+        self.unanswered = 0
+
+    def is_idle(self, partition: PartitionId) -> bool:
+        """Tell whether no lookup runs on a partition's workers."""
+        return not self._running.get(partition)
+
+    async def run_one(self, work: Work, timeout_s: float) -> LookupDone:
+        """Run a lookup on the worker with the most free slots.
+
+        The slot of a lookup that got no answer stays taken until the worker
+        has said that it doesn't run.
+        """
+        key = lookup_id(work=work.id, number=next(self._numbers))
+        need = Need(
+            attempt=key,
+            kind=Kind.LOOKUP,
+            pool=work.pool,
+            resources=work.resources,
+            run_s=work.run_s,
+        )
+        choices = place(self._fleet.ledger, [need])
+        if not choices:
+            return LookupDone(problem=no_slot(work))
+        site = choices[0].site
+        partition = self._fleet.partition(site.rack)
+        self._count(partition, 1)
+        try:
+            answer = await self._ask(site, key, work, timeout_s)
+        except (WorkerSilentError, WorkerRefusedError):
+            self._give_up(key, site)
+            return LookupDone(problem=_unanswered(work))
+        except trio.Cancelled:
+            self._give_up(key, site)
+            raise
+        finally:
+            self._count(partition, -1)
+        self._fleet.free(key)
+        return LookupDone(answer=answer)
+
+    async def _ask(
+        self, site: Site, key: AttemptId, work: Work, timeout_s: float
+    ) -> str:
+        upstream = self._fleet.upstream(site.worker)
+        if upstream is None:
+            raise WorkerSilentError(worker=site.worker)
+        need = Lookup(
+            epoch=Epoch(0),
+            token=0,
+            id=key,
+            resources=work.resources,
+            payload=work.payload,
+        )
+        return await upstream.lookup(key=key, need=need, timeout_s=timeout_s)
+
+    def _give_up(self, key: AttemptId, site: Site) -> None:
+        self.unanswered += 1
+        self._fleet.stop_lookup(key, site.worker)
+
+    def _count(self, partition: PartitionId, change: int) -> None:
+        self._running[partition] = self._running.get(partition, 0) + change
+
+
+def no_slot(work: Work) -> Problem:
+    """Return what a caller is told when no slot is free for its lookup."""
+    return Problem(
+        kind=ErrorKind.OVERLOADED,
+        detail=f'pool {work.pool} has no free slot for the lookup',
+        remedy='send it again after the time given',
+        ran=Ran.NO,
+        retry_after_s=1,
+    )
+
+
+def _unanswered(work: Work) -> Problem:
+    return Problem(
+        kind=ErrorKind.UNSETTLED,
+        detail=f'the worker gave no answer to lookup {work.id}',
+        remedy='send it again; a lookup is idempotent',
+        ran=Ran.UNKNOWN,
+    )
--- a/packages/cyclamentrack/cyclamentrack/membership.py
+++ b/packages/cyclamentrack/cyclamentrack/membership.py
@@ -128,9 +128,16 @@
         """Return the condition that every write of this daemon carries."""
         return Present(key=self.key)
 
-    def find(self, daemon: DaemonId, incarnation: Incarnation) -> Member | None:
+    def find(self, incarnation: Incarnation) -> Member | None:
         """Return an incarnation's row as last seen, or ``None``."""
-        return self._members.get(member_key(daemon, incarnation))
+        for member in self._members.values():
+            if member.incarnation == incarnation:
+                return member
+        return None
+
+    def is_me(self, member: Member) -> bool:
+        """Tell whether a row is this incarnation's, not only its name."""
+        return member.incarnation == self._me.incarnation
 
     def is_alive(self, daemon: DaemonId, incarnation: Incarnation) -> bool:
         """Tell whether that incarnation's row was there at the last look."""
--- a/packages/cyclamentrack/cyclamentrack/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/messages.py
@@ -116,6 +116,13 @@
     grants: list[Grant]
 
 
+class Release(msgspec.Struct, frozen=True, kw_only=True, tag='release'):
+    """Give reservations back, and refuse them if they come late."""
+
+    origin: Origin
+    attempts: list[AttemptId]
+
+
 class Confirmation(msgspec.Struct, frozen=True, kw_only=True):
     """What the owner of a reservation needs to start its attempt."""
 
@@ -238,6 +245,7 @@
     | LookupDone
     | Reserve
     | Reserved
+    | Release
     | Confirm
     | Confirmed
     | Revoke
--- a/packages/cyclamentrack/cyclamentrack/node.py
+++ b/packages/cyclamentrack/cyclamentrack/node.py
@@ -23,6 +23,7 @@
 from cyclamentrack.fleet import Fleet
 from cyclamentrack.ids import Epoch, PartitionId
 from cyclamentrack.journal import Journal
+from cyclamentrack.lookups import LookupDesk
 from cyclamentrack.membership import Member, Membership, MemberState
 from cyclamentrack.messages import (
     Answers,
@@ -33,6 +34,7 @@
     Done,
     EndsKept,
     PeerMessage,
+    Release,
     ReportEnds,
     Reserve,
     Revoke,
@@ -213,9 +215,12 @@
                 answers = await serve(self.coordinator, message)
                 return Answers(answers=answers or [])
             case RunLookup(work=work, deadline_s=deadline_s):
-                return await self.fleet.lookup(work, deadline_s)
+                return await self.lookups.run_one(work, deadline_s)
             case Reserve():
                 return self.fleet.reserve(message)
+            case Release():
+                self.fleet.release(message)
+                return Done()
             case Confirm():
                 return self.fleet.confirm(message)
             case Revoke():
@@ -300,10 +305,11 @@
             membership=self.membership,
             peers=platform.peers,
         )
+        self.lookups = LookupDesk(fleet=self.fleet)
         self.router = Router(
             works=self.works,
             coordinator=self.coordinator,
-            fleet=self.fleet,
+            lookups=self.lookups,
             ownership=self.ownership,
             membership=self.membership,
             view=self.view,
@@ -364,7 +370,7 @@
     def _is_quiet(self, partition: PartitionId) -> bool:
         return self.dispatcher.is_idle(
             partition,
-        ) and not self.fleet.has_lookups(partition)
+        ) and self.lookups.is_idle(partition)
 
     def _book(self, partition: PartitionId) -> Book:
         if partition in self._departing:
@@ -432,7 +438,7 @@
         peers = [
             member
             for member in self.membership.members
-            if member.daemon != self.me.daemon
+            if not self.membership.is_me(member)
         ]
         if limit is not None and len(peers) > limit:
             peers = self._random.sample(peers, limit)
@@ -448,7 +454,7 @@
                 timeout_s=defaults.PEER_HEARTBEAT_S,
             )
         except PeerSilentError:
-            self.view.forget(member.daemon)
+            self.view.forget(member.incarnation)
 
 
 def _not_understood(message: PeerMessage) -> Declined:
--- a/packages/cyclamentrack/cyclamentrack/ownership.py
+++ b/packages/cyclamentrack/cyclamentrack/ownership.py
@@ -140,7 +140,7 @@
         row = self._seen.get(partition)
         if row is None or row.owner is None or row.incarnation is None:
             return None
-        return self._membership.find(row.owner, row.incarnation)
+        return self._membership.find(row.incarnation)
 
     def epochs(self) -> dict[PartitionId, Epoch]:
         """Return the epoch of each partition, as last seen."""
--- a/packages/cyclamentrack/cyclamentrack/placement.py
+++ b/packages/cyclamentrack/cyclamentrack/placement.py
@@ -10,15 +10,14 @@
 import msgspec
 
 from cyclamentrack.ids import PoolName
-from cyclamentrack.index import WorkerSlotRow
+from cyclamentrack.index import RoomRow
 from cyclamentrack.ledger import Ledger
 from cyclamentrack.messages import Need, Site
 from cyclamentrack.resources import Resources
 from cyclamentrack.work import Kind
 
-_CANDIDATES = 6
 _RACK_TRIES = 8
-_STRANDED_WEIGHT = 0.5
+_SIZE_WEIGHT = 0.2
 
 
 class Choice(msgspec.Struct, frozen=True, kw_only=True):
@@ -88,8 +87,7 @@
         if shape in full:
             continue
         index = ledger.pool(need.pool)
-        rows = index.tightest(need.resources) if index else ()
-        row = _best(rows, need.resources)
+        row = index.best(need.resources, leftover) if index else None
         if row is None:
             full.add(shape)
             continue
@@ -133,36 +131,21 @@
     return choices
 
 
-def _best(
-    rows: Iterable[WorkerSlotRow], need: Resources
-) -> WorkerSlotRow | None:
-    best: WorkerSlotRow | None = None
-    lowest = float('inf')
-    for _, row in zip(range(_CANDIDATES), rows, strict=False):
-        score = leftover(row, need)
-        if score < lowest:
-            best, lowest = row, score
-    return best
+def leftover(row: RoomRow, need: Resources) -> float:
+    """Return how lopsided and how large the rest of a placement would be.
 
-
-def leftover(row: WorkerSlotRow, need: Resources) -> float:
-    """Return how much a placement leaves and how lopsided the rest is.
-
-    Accelerators that non-accelerator work would strand weigh most.
+    A rest with processors but no memory, or the other way, is of no use to
+    the next task, so the difference of the two weighs more than their sum.
     """
     capacity = row.capacity
     cores = (row.cores - need.milli_cores) / max(capacity.milli_cores, 1)
     memory = (row.memory - need.memory_mib) / max(capacity.memory_mib, 1)
-    devices = (row.accelerators - need.accelerators) / max(
-        capacity.accelerators,
-        1,
-    )
-    return cores + memory + devices + _STRANDED_WEIGHT * abs(cores - memory)
+    return abs(cores - memory) + _SIZE_WEIGHT * (cores + memory)
 
 
 def _least_crowded(
-    rows: Iterable[WorkerSlotRow], counts: dict[str, int]
-) -> WorkerSlotRow | None:
+    rows: Iterable[RoomRow], counts: dict[str, int]
+) -> RoomRow | None:
     return min(
         rows,
         key=lambda row: (
@@ -174,13 +157,13 @@
     )
 
 
-def _rack_cores(rows: list[WorkerSlotRow]) -> int:
+def _rack_cores(rows: list[RoomRow]) -> int:
     return sum(row.cores for row in rows)
 
 
-def _fill(rows: list[WorkerSlotRow], needs: list[Need]) -> list[WorkerSlotRow]:
+def _fill(rows: list[RoomRow], needs: list[Need]) -> list[RoomRow]:
     """Return a worker per need, as far as the rows go; hold nothing."""
-    plan: list[WorkerSlotRow] = []
+    plan: list[RoomRow] = []
     need = needs[0].resources
     for row in rows:
         room = min(_times(row, need), len(needs) - len(plan))
@@ -190,7 +173,7 @@
     return plan
 
 
-def _times(row: WorkerSlotRow, need: Resources) -> int:
+def _times(row: RoomRow, need: Resources) -> int:
     """Return how many times a need fits on a worker."""
     counts = [
         free // asked
@@ -205,7 +188,7 @@
 
 
 def _hold_plan(
-    ledger: Ledger, plan: list[WorkerSlotRow], needs: list[Need]
+    ledger: Ledger, plan: list[RoomRow], needs: list[Need]
 ) -> list[Choice]:
     return [
         _hold(ledger, row, need) for row, need in zip(plan, needs, strict=True)
@@ -213,7 +196,7 @@
 
 
 def _hold(
-    ledger: Ledger, row: WorkerSlotRow, need: Need, *, slots: int = 0
+    ledger: Ledger, row: RoomRow, need: Need, *, slots: int = 0
 ) -> Choice:
     ledger.hold(
         need.attempt,
--- a/packages/cyclamentrack/cyclamentrack/reports.py
+++ b/packages/cyclamentrack/cyclamentrack/reports.py
@@ -12,7 +12,7 @@
 from cyclamentrack.coordinator import Coordinator
 from cyclamentrack.errors import PeerSilentError
 from cyclamentrack.fleet import Fleet
-from cyclamentrack.ids import AttemptId, DaemonId, split_attempt
+from cyclamentrack.ids import AttemptId, Incarnation, split_attempt
 from cyclamentrack.membership import Member, Membership
 from cyclamentrack.messages import EndsKept, ReportEnds, Settlement
 from cyclamentrack.ownership import Ownership
@@ -45,7 +45,7 @@
         self._ownership = ownership
         self._membership = membership
         self._peers = peers
-        self._on_the_way: set[DaemonId] = set()
+        self._on_the_way: set[Incarnation] = set()
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -60,17 +60,17 @@
                     self._fleet.ends_changed.set()
 
     def _report_all(self, nursery: trio.Nursery) -> None:
-        groups: dict[DaemonId, list[Settlement]] = {}
-        owners: dict[DaemonId, Member] = {}
+        groups: dict[Incarnation, list[Settlement]] = {}
+        owners: dict[Incarnation, Member] = {}
         for entry in self._fleet.ends():
             work, _, _ = split_attempt(entry.attempt)
             owner = self._ownership.owner(self._works.partition(work))
-            if owner is not None and owner.daemon not in self._on_the_way:
-                owners[owner.daemon] = owner
-                groups.setdefault(owner.daemon, []).append(entry)
-        for daemon, entries in groups.items():
-            self._on_the_way.add(daemon)
-            nursery.start_soon(self._report, owners[daemon], entries[:_BATCH])
+            if owner is not None and owner.incarnation not in self._on_the_way:
+                owners[owner.incarnation] = owner
+                groups.setdefault(owner.incarnation, []).append(entry)
+        for peer, entries in groups.items():
+            self._on_the_way.add(peer)
+            nursery.start_soon(self._report, owners[peer], entries[:_BATCH])
 
     async def _report(self, owner: Member, entries: list[Settlement]) -> None:
         """Report once; pause when the owner kept nothing of it.
@@ -84,14 +84,14 @@
             if not kept:
                 await trio.sleep(_RETRY_S)
         finally:
-            self._on_the_way.discard(owner.daemon)
+            self._on_the_way.discard(owner.incarnation)
         if self._fleet.ends():
             self._fleet.ends_changed.set()
 
     async def _send(
         self, owner: Member, entries: list[Settlement]
     ) -> list[AttemptId]:
-        if owner.daemon == self._membership.me.daemon:
+        if self._membership.is_me(owner):
             return await self._coordinator.keep_ends(entries)
         try:
             reply = await self._peers.call(
--- a/packages/cyclamentrack/cyclamentrack/reservations.py
+++ b/packages/cyclamentrack/cyclamentrack/reservations.py
@@ -38,6 +38,10 @@
         """Return how many reservations are held."""
         return len(self._reservations)
 
+    def waiting(self) -> list[Reservation]:
+        """Return the reservations that are neither confirmed nor expired."""
+        return list(self._reservations.values())
+
     def is_stale(self, origin: Origin) -> bool:
         """Tell whether a newer owner of the partition has spoken."""
         seen = self._epochs.get(origin.partition, origin.epoch)
--- a/packages/cyclamentrack/cyclamentrack/routing.py
+++ b/packages/cyclamentrack/cyclamentrack/routing.py
@@ -14,8 +14,8 @@
 from cyclamentrack.cellview import CellView
 from cyclamentrack.coordinator import Coordinator
 from cyclamentrack.errors import ErrorKind, PeerSilentError, Problem, Ran
-from cyclamentrack.fleet import Fleet, no_slot
-from cyclamentrack.ids import DaemonId, WorkId
+from cyclamentrack.ids import Incarnation, WorkId
+from cyclamentrack.lookups import LookupDesk, no_slot
 from cyclamentrack.membership import Member, Membership
 from cyclamentrack.messages import (
     Answers,
@@ -50,7 +50,7 @@
         *,
         works: Works,
         coordinator: Coordinator,
-        fleet: Fleet,
+        lookups: LookupDesk,
         ownership: Ownership,
         membership: Membership,
         view: CellView,
@@ -60,7 +60,7 @@
         """Route through the given stages."""
         self._works = works
         self._coordinator = coordinator
-        self._fleet = fleet
+        self._lookups = lookups
         self._ownership = ownership
         self._membership = membership
         self._view = view
@@ -120,20 +120,20 @@
 
     async def _lookup_once(self, work: Work, until: float) -> LookupDone:
         left = max(until - trio.current_time(), _RETRY_S)
-        done = await self._fleet.lookup(work, left / _LOOKUP_TRIES)
+        done = await self._lookups.run_one(work, left / _LOOKUP_TRIES)
         if done.problem is None or _is_unsettled(done):
             return done
         peers = self._view.candidates(work.pool, work.resources, slots=1)
-        for daemon in peers[:_LOOKUP_PEERS]:
-            found = await self._lookup_at(daemon, work, until)
+        for peer in peers[:_LOOKUP_PEERS]:
+            found = await self._lookup_at(peer, work, until)
             if found.problem is None or _is_unsettled(found):
                 return found
         return done
 
     async def _lookup_at(
-        self, daemon: DaemonId, work: Work, until: float
+        self, peer: Incarnation, work: Work, until: float
     ) -> LookupDone:
-        member = self._member(daemon)
+        member = self._membership.find(peer)
         if member is None:
             return LookupDone(problem=no_slot(work))
         left = max(until - trio.current_time(), _RETRY_S)
@@ -144,7 +144,7 @@
                 timeout_s=left / 2 + _RETRY_S,
             )
         except PeerSilentError:
-            self._view.forget(daemon)
+            self._view.forget(peer)
             return LookupDone(problem=_silent_lookup(work))
         if isinstance(reply, LookupDone):
             return reply
@@ -167,25 +167,25 @@
         self, works: list[WorkId], build: _Build
     ) -> dict[WorkId, Answer]:
         """Send each owner its part of a request, all at the same time."""
-        groups: dict[DaemonId | None, list[WorkId]] = {}
-        members: dict[DaemonId, Member] = {}
+        groups: dict[Incarnation | None, list[WorkId]] = {}
+        members: dict[Incarnation, Member] = {}
         for work in works:
             owner = self._ownership.owner(self._works.partition(work))
             if owner is not None:
-                members[owner.daemon] = owner
+                members[owner.incarnation] = owner
             groups.setdefault(
-                owner.daemon if owner else None,
+                owner.incarnation if owner else None,
                 [],
             ).append(work)
         answers: dict[WorkId, Answer] = {}
         async with trio.open_nursery() as nursery:
-            for daemon, ids in groups.items():
-                if daemon is None:
+            for peer, ids in groups.items():
+                if peer is None:
                     answers.update(_no_owner(ids))
                     continue
                 nursery.start_soon(
                     self._ask_owner,
-                    members[daemon],
+                    members[peer],
                     ids,
                     build,
                     answers,
@@ -200,7 +200,7 @@
         answers: dict[WorkId, Answer],
     ) -> None:
         request = build(ids)
-        if owner.daemon == self._membership.me.daemon:
+        if self._membership.is_me(owner):
             found = await serve(self._coordinator, request)
         else:
             found = await self._ask_peer(owner, request)
@@ -222,12 +222,6 @@
             return None
         return reply.answers if isinstance(reply, Answers) else None
 
-    def _member(self, daemon: DaemonId) -> Member | None:
-        for member in self._membership.members:
-            if member.daemon == daemon:
-                return member
-        return None
-
 
 async def serve(
     coordinator: Coordinator, request: PeerMessage
--- a/packages/cyclamentrack/cyclamentrack/settle.py
+++ b/packages/cyclamentrack/cyclamentrack/settle.py
@@ -14,7 +14,7 @@
 from cyclamentrack import defaults
 from cyclamentrack.errors import PeerSilentError
 from cyclamentrack.fleet import Fleet
-from cyclamentrack.ids import AttemptId, DaemonId, PartitionId, split_attempt
+from cyclamentrack.ids import AttemptId, Incarnation, PartitionId, split_attempt
 from cyclamentrack.membership import Member, Membership
 from cyclamentrack.messages import (
     Revocation,
@@ -96,20 +96,20 @@
                 self._wake.set()
 
     async def _ask_all(self) -> None:
-        groups: dict[tuple[DaemonId, PartitionId], list[AttemptId]] = {}
-        agents: dict[DaemonId, Member] = {}
+        groups: dict[tuple[Incarnation, PartitionId], list[AttemptId]] = {}
+        agents: dict[Incarnation, Member] = {}
         for attempt, question in self._questions.items():
             rack = self._fleet.partition(question.site.rack)
             agent = self._ownership.owner(rack)
             if agent is None:
                 continue
-            agents[agent.daemon] = agent
-            key = (agent.daemon, self._partition(attempt))
+            agents[agent.incarnation] = agent
+            key = (agent.incarnation, self._partition(attempt))
             groups.setdefault(key, []).append(attempt)
-        for (daemon, partition), attempts in groups.items():
+        for (peer, partition), attempts in groups.items():
             for start in range(0, len(attempts), _BATCH):
                 batch = attempts[start : start + _BATCH]
-                await self._ask_one(agents[daemon], partition, batch)
+                await self._ask_one(agents[peer], partition, batch)
 
     async def _ask_one(
         self, agent: Member, partition: PartitionId, batch: list[AttemptId]
@@ -133,7 +133,7 @@
             self._take(settled)
 
     async def _send(self, agent: Member, request: Revoke) -> Settled | None:
-        if agent.daemon == self._membership.me.daemon:
+        if self._membership.is_me(agent):
             return self._fleet.revoke(request)
         try:
             reply = await self._peers.call(
