Keep lookups, floors and teams through floods; cut control cost

Change: each slot keeps a little room for lookups; idle floors are lent only to work that can be stopped, and taken back by stopping it; a team below its equal part is owed room, also at peers, whose own work steps back for a moment; non-stoppable work leaves part of its urgency's floor to other teams. The floors are 10% each by default.

Cause, path: totals of free room in summaries were checked against the limits of one task, so large fleets closed their peer connections. Change: the limits cover a whole cell.

Cause, control: an idle daemon in a cell of 12 took 7.2% of a core and 75 KB/s, mostly 64 partition rows and the whole instance list read every half to one second.

Confirming moved out of dispatch into a module of its own.

--- a/features/harness/guards.py
+++ b/features/harness/guards.py
@@ -72,8 +72,8 @@
 
 @contextlib.contextmanager
 def _free_room() -> Generator[None]:
-    def charge(ledger: Ledger, row: Any, need: Any, slots: int) -> None:
-        del ledger, row, need, slots
+    def charge(ledger: Ledger, row: Any, held: Any, sign: int) -> None:
+        del ledger, row, held, sign
 
     with mock.patch.object(Ledger, '_charge', charge):
         yield
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/daemon.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/daemon.py
@@ -93,6 +93,7 @@
             self._node = self._new_node(peers)
 
     async def _handle(self, message: PeerMessage) -> PeerMessage:
+        self.node().metrics.count('peer_requests')
         return await self.node().handle(message)
 
     async def _serve_callers(self) -> None:
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/operators.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/operators.py
@@ -20,6 +20,7 @@
 from cyclamentrack_daemon.bodies import decode_as, read_body, read_seconds
 from cyclamentrack_daemon.callers import exception_handlers, probe_routes
 from cyclamentrack_daemon.problems import json_response, problem_response
+from cyclamentrack_daemon.traffic import traffic
 
 _POLL_S = 0.1
 _SINCE_MAX_S = 10.0**10
@@ -229,6 +230,8 @@
         'placements': view.placements,
         'config_revision': view.revision,
         'audit_dropped': view.audit_dropped,
+        'bytes_sent': traffic.sent,
+        'bytes_received': traffic.received,
     }
 
 
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
@@ -20,6 +20,7 @@
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import PeerSilentError
 from cyclamentrack.messages import PROTOCOL_VERSION, PeerMessage
+from cyclamentrack_daemon.traffic import traffic
 
 _log = logging.getLogger(__name__)
 
@@ -99,11 +100,13 @@
         number = next(self._numbers)
         send, receive = trio.open_memory_channel[PeerMessage](1)
         self._waiting[number] = send
+        packet = encode(Frame(number, message))
+        traffic.count_message(sent=len(packet))
         try:
             await self._open.wait()
             if self._connection is None or self.closed:
                 raise PeerSilentError(peer=self._address)
-            await self._connection.send(encode(Frame(number, message)))
+            await self._connection.send(packet)
             return await receive.receive()
         except (
             WebSocketException,
@@ -116,6 +119,7 @@
 
     async def _receive(self, connection: Connection) -> None:
         async for packet in connection:
+            traffic.count_message(received=len(packet))
             frame = decode(packet, Frame)
             waiting = self._waiting.get(frame.number)
             if waiting is not None:
@@ -142,6 +146,7 @@
         async with trio.open_nursery() as nursery:
             try:
                 async for packet in connection:
+                    traffic.count_message(received=len(packet))
                     frame = decode(packet, Frame)
                     nursery.start_soon(_answer, connection, frame, handle)
             except WebSocketException:
@@ -168,7 +173,9 @@
 ) -> None:
     try:
         reply = await handle(frame.message)
-        await connection.send(encode(Frame(frame.number, reply)))
+        packet = encode(Frame(frame.number, reply))
+        traffic.count_message(sent=len(packet))
+        await connection.send(packet)
     except WebSocketException:
         _log.debug('a reply had nowhere to go')
     except Exception:
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
@@ -36,6 +36,7 @@
 )
 from cyclamentrack_daemon import wire
 from cyclamentrack_daemon.settings import Settings
+from cyclamentrack_daemon.traffic import traffic
 
 _WORKER_CONNECTIONS = 64
 _PLATFORM_CONNECTIONS = 16
@@ -116,6 +117,7 @@
     body: bytes = b'',
 ) -> _Reply:
     response = await pool.request(method, url, headers=_JSON, content=body)
+    traffic.count_call(body, response.content)
     return _Reply(status=response.status, body=response.content)
 
 
@@ -217,11 +219,18 @@
         """Call through a pool of connections."""
         self._pool = pool
         self._url = f'{base}/instances'
+        self._version = ''
+        self._known: list[Instance] = []
 
     async def list(self) -> list[Instance]:
-        """Return the list."""
-        reply = await _ask(self._pool, 'GET', self._url)
-        return msgspec.json.decode(reply.body, type=list[Instance])
+        """Return the list; it is only sent again when it has changed."""
+        url = f'{self._url}?unless={self._version}'
+        reply = await _ask(self._pool, 'GET', url)
+        found = msgspec.json.decode(reply.body, type=wire.InstancesReply)
+        if found.version != self._version:
+            self._version = found.version
+            self._known = found.instances
+        return self._known
 
 
 class HttpWorkers:
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/wire.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/wire.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cyclamentrack.ports import Row
+from cyclamentrack.ports import Instance, Row
 
 
 class ReadRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -37,6 +37,13 @@
     names: list[str]
 
 
+class InstancesReply(msgspec.Struct, frozen=True, kw_only=True):
+    """The instance list, empty when its version is the one that was named."""
+
+    version: str
+    instances: list[Instance] = []
+
+
 class RefusalReply(msgspec.Struct, frozen=True, kw_only=True):
     """Why a worker refused."""
 
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/http.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/http.py
@@ -1,5 +1,6 @@
 """The stand-ins behind HTTP, as the platform would answer."""
 
+import hashlib
 from collections.abc import Callable
 from typing import Any
 
@@ -182,8 +183,12 @@
         return _json('done')
 
     async def _list(self, request: Request) -> Response:
-        del request
-        return _json(await self.instances.list())
+        listed = await self.instances.list()
+        digest = hashlib.blake2b(msgspec.json.encode(listed), digest_size=8)
+        version = digest.hexdigest()
+        if request.query_params.get('unless') == version:
+            listed = []
+        return _json(wire.InstancesReply(version=version, instances=listed))
 
     async def _worker(self, request: Request) -> Response:
         worker = self.workers[WorkerId(request.path_params['id'])]
--- a/packages/cyclamentrack/cyclamentrack/admission.py
+++ b/packages/cyclamentrack/cyclamentrack/admission.py
@@ -13,6 +13,7 @@
 from cyclamentrack import defaults
 from cyclamentrack.errors import ErrorKind, Problem, Ran
 from cyclamentrack.ids import PoolName
+from cyclamentrack.ledger import task_room
 from cyclamentrack.ports import Instance
 from cyclamentrack.queue import WorkQueue
 from cyclamentrack.resources import NOTHING, Resources
@@ -36,8 +37,8 @@
     types: dict[PoolName, set[Resources]] = {}
     for instance in instances:
         before = totals.get(instance.pool, NOTHING)
-        totals[instance.pool] = before.plus(instance.capacity)
-        types.setdefault(instance.pool, set()).add(instance.capacity)
+        totals[instance.pool] = before.plus(task_room(instance))
+        types.setdefault(instance.pool, set()).add(task_room(instance))
     return {
         pool: PoolCapacity(total=total, types=frozenset(types[pool]))
         for pool, total in totals.items()
@@ -59,6 +60,7 @@
         self._configuration = configuration
         self._own_share = own_share
         self._pools: dict[PoolName, PoolCapacity] = {}
+        self._total = NOTHING
 
     @property
     def pools(self) -> dict[PoolName, PoolCapacity]:
@@ -68,13 +70,13 @@
     def take_list(self, instances: list[Instance]) -> None:
         """Learn the cell's capacity from the instance list."""
         self._pools = capacities(instances)
+        self._total = NOTHING
+        for capacity in self._pools.values():
+            self._total = self._total.plus(capacity.total)
 
     def total(self) -> Resources:
         """Return the capacity of the whole cell."""
-        total = NOTHING
-        for capacity in self._pools.values():
-            total = total.plus(capacity.total)
-        return total
+        return self._total
 
     def refuse(self, work: Work) -> Problem | None:
         """Return why work is refused, or ``None`` when it is admitted."""
@@ -85,12 +87,26 @@
             or self._refuse_crowd(work)
         )
 
-    def predicted_wait_s(self, urgency: Urgency) -> float:
-        """Return how long work of an urgency would wait, in seconds."""
-        ahead = _URGENCIES[: _URGENCIES.index(urgency) + 1]
-        demand_s = sum(self._queue.demand_s(level) for level in ahead)
+    def predicted_wait_s(self, work: Work) -> float:
+        """Return how long a work would wait, in seconds.
+
+        Whatever waits at higher urgencies, an urgency has its floor, and a
+        team its part of that. The shortest of the three predictions holds.
+        """
         cores = self.total().milli_cores / 1000 * self._own_share()
-        return demand_s / cores if cores else 0
+        if not cores:
+            return 0
+        queue = self._queue
+        urgency = work.urgency
+        ahead = _URGENCIES[: _URGENCIES.index(urgency) + 1]
+        floor_cores = cores * self._configuration.floor(urgency)
+        in_order = sum(queue.demand_s(level) for level in ahead) / cores
+        if not floor_cores:
+            return in_order
+        in_floor = queue.demand_s(urgency) / floor_cores
+        teams = max(queue.teams(urgency), 1)
+        in_team = queue.team_demand_s(urgency, work.team) * teams / floor_cores
+        return min(in_order, in_floor, in_team)
 
     def _refuse_malformed(self, work: Work) -> Problem | None:
         if work.kind is not Kind.LOOKUP:
@@ -157,7 +173,7 @@
         limit_s = self._configuration.wait_limit_s(work.urgency)
         if work.deadline_s is not None:
             limit_s = min(limit_s, work.deadline_s)
-        wait_s = self.predicted_wait_s(work.urgency)
+        wait_s = self.predicted_wait_s(work)
         if wait_s <= limit_s:
             return None
         return _crowded(
--- a/packages/cyclamentrack/cyclamentrack/cellview.py
+++ b/packages/cyclamentrack/cyclamentrack/cellview.py
@@ -63,6 +63,16 @@
         )
         return [peer for _, peer in [*first_two, *fitting[2:]]]
 
+    def holders(self, pool: PoolName) -> list[Incarnation]:
+        """Return the peers that own workers of a pool, in a random order."""
+        found = [
+            peer
+            for peer, entry in self._entries.items()
+            if self._is_fresh(entry) and _pool(entry, pool) is not None
+        ]
+        self._random.shuffle(found)
+        return found
+
     def charge(self, peer: Incarnation, cores: int) -> None:
         """Count room as taken until the peer's next summary."""
         entry = self._entries.get(peer)
--- a/packages/cyclamentrack/cyclamentrack/coordinator.py
+++ b/packages/cyclamentrack/cyclamentrack/coordinator.py
@@ -164,6 +164,7 @@
                 ),
             )
             self._usage.release(entry.attempt)
+            self._dispatcher.preemption.drop(entry.attempt)
             if record is not None:
                 self._go_on(record, entry)
         return here
--- a/packages/cyclamentrack/cyclamentrack/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/dispatch.py
@@ -10,44 +10,39 @@
 from itertools import islice
 from typing import Any
 
-import msgspec
 import trio
 
 from cyclamentrack import defaults
 from cyclamentrack.book import WorkRecord
 from cyclamentrack.cellview import CellView
-from cyclamentrack.errors import PeerSilentError
 from cyclamentrack.events import Placed, PlacedTask
 from cyclamentrack.fairness import Fairness
 from cyclamentrack.fleet import Fleet
 from cyclamentrack.ids import (
-    AttemptId,
     Incarnation,
     PartitionId,
+    PoolName,
     WorkId,
     attempt_id,
     split_attempt,
 )
-from cyclamentrack.membership import Member, Membership
+from cyclamentrack.launch import Launcher
+from cyclamentrack.membership import Membership
 from cyclamentrack.messages import (
-    Confirm,
-    Confirmation,
-    Confirmed,
     Grant,
     Need,
     Origin,
-    Release,
     Reserve,
     Reserved,
 )
+from cyclamentrack.metrics import Metrics
 from cyclamentrack.ownership import Ownership
-from cyclamentrack.ports import Peers
+from cyclamentrack.preemption import Preemption
 from cyclamentrack.queue import Lane, LaneKey, WorkQueue
 from cyclamentrack.retries import RetryBudget
 from cyclamentrack.settle import Settler
 from cyclamentrack.usage import Usage
-from cyclamentrack.waits import Waits
-from cyclamentrack.work import Kind
+from cyclamentrack.work import Kind, Work
 from cyclamentrack.works import Works
 
 _log = logging.getLogger(__name__)
@@ -57,13 +52,8 @@
 _SPILL_PEERS = 2
 _SPILL_LANES = 2
 _SPILL_PAUSE_S = 0.5
-
-
-class _Launch(msgspec.Struct, frozen=True, kw_only=True):
-    """Attempts whose intents were journalled, by the daemon to confirm at."""
-
-    position: int
-    grants: list[Grant]
+_OWED_SPILL_PAUSE_S = 0.1
+_GUEST_S = 0.25
 
 
 class Dispatcher:
@@ -78,11 +68,11 @@
         ownership: Ownership,
         membership: Membership,
         view: CellView,
-        peers: Peers,
+        launcher: Launcher,
         settler: Settler,
         fairness: Fairness,
         usage: Usage,
-        waits: Waits,
+        metrics: Metrics,
     ) -> None:
         """Nothing is placed before ``run``."""
         self._works = works
@@ -91,16 +81,20 @@
         self._ownership = ownership
         self._membership = membership
         self._view = view
-        self._peers = peers
-        self._settler = settler
+        self._launcher = launcher
         self._fairness = fairness
         self._usage = usage
-        self._waits = waits
+        self.preemption = Preemption(
+            ledger=fleet.ledger,
+            fairness=fairness,
+            stop=lambda attempt, site: settler.ask(attempt, site, stop=True),
+        )
+        self._metrics = metrics
         self._retries = RetryBudget()
         self._tries: dict[WorkId, int] = {}
+        self._guests: dict[PoolName, float] = {}
         self._spills_at: dict[LaneKey, float] = {}
         self._closed: set[PartitionId] = set()
-        self._in_flight: dict[PartitionId, int] = {}
         self._wake = trio.Event()
         self._nursery: trio.Nursery | None = None
         self.placements = 0
@@ -133,9 +127,18 @@
         """Place works of a partition from now on."""
         self._closed.discard(partition)
 
-    def is_idle(self, partition: PartitionId) -> bool:
-        """Tell whether no launch of a partition's work is in flight."""
-        return not self._in_flight.get(partition)
+    def welcome(self, request: Reserve, granted: int) -> None:
+        """Make room for a peer's work that is owed room and found none.
+
+        Own work that isn't owed any steps back for a moment, so that the
+        peer's next try finds what is stopped or ends meanwhile.
+        """
+        if not request.owed or granted:
+            return
+        need = request.needs[0]
+        until = trio.current_time() + _GUEST_S
+        self._guests[need.pool] = until
+        self.preemption.make_room_for(need, len(request.needs))
 
     async def run(self) -> None:
         """Run rounds until cancelled."""
@@ -150,11 +153,21 @@
                 await trio.lowlevel.checkpoint()
 
     async def _round(self, nursery: trio.Nursery) -> None:
-        blocked = self._place_here(nursery)
+        with self._metrics.timed('decision'):
+            blocked = self._place_here(nursery)
+        self._take_back(blocked)
         for lane in blocked[:_SPILL_LANES]:
             if self._may_spill(lane):
                 await self._spill(lane, nursery)
 
+    def _take_back(self, blocked: list[Lane]) -> None:
+        """Stop borrowers for the first blocked lane that is below its floor."""
+        for lane in blocked:
+            work = lane.first()
+            if work is not None and self._fairness.is_owed(work):
+                self.preemption.make_room(work, len(lane.works))
+                return
+
     def _may_spill(self, lane: Lane) -> bool:
         """Tell whether a lane's turn to ask peers has come again.
 
@@ -167,7 +180,10 @@
         self._spills_at = {
             key: at for key, at in self._spills_at.items() if at > now
         }
-        self._spills_at[lane.key] = now + _SPILL_PAUSE_S
+        work = lane.first()
+        owed = work is not None and self._fairness.is_owed(work)
+        pause_s = _OWED_SPILL_PAUSE_S if owed else _SPILL_PAUSE_S
+        self._spills_at[lane.key] = now + pause_s
         return True
 
     def _place_here(self, nursery: trio.Nursery) -> list[Lane]:
@@ -185,14 +201,14 @@
                 self.wake()
                 break
         if grants:
-            self._launch_later(grants, nursery)
+            self._launcher.launch_later(grants, nursery)
         return blocked
 
     def _place_lane(self, lane: Lane, budget: int) -> tuple[list[Grant], bool]:
         """Place works of a lane in order until one finds no room."""
         placed: list[Grant] = []
         for record in list(islice(lane.works.values(), budget)):
-            if not self._fairness.may_place(record.work):
+            if not self._may_place(record.work):
                 return placed, False
             needs = self._needs(record, budget - len(placed))
             if not needs:
@@ -209,6 +225,15 @@
                 break
         return placed, False
 
+    def _may_place(self, work: Work) -> bool:
+        """Tell whether a work may take room now, before any guest."""
+        if not self._fairness.may_place(work):
+            return False
+        guest_until = self._guests.get(work.pool, 0)
+        if trio.current_time() >= guest_until:
+            return True
+        return self._fairness.is_owed(work)
+
     def _needs(self, record: WorkRecord, budget: int) -> list[Need]:
         waiting = record.waiting()
         if record.work.kind is not Kind.GANG:
@@ -238,6 +263,7 @@
             _, index, number = split_attempt(grant.attempt)
             tasks.append(PlacedTask(index, number, grant.site))
             self._usage.hold(grant.attempt, record.work)
+            self.preemption.note(grant.attempt, record.work, grant.site)
         if not tasks:
             return
         self._works.log(Placed(work=record.work.id, tasks=tasks))
@@ -247,98 +273,6 @@
         if not record.waiting():
             self._queue.discard(record.work.id)
 
-    # Confirming
-
-    def _launch_later(self, grants: list[Grant], nursery: trio.Nursery) -> None:
-        positions = [
-            record.position
-            for record in map(self._record, grants)
-            if record is not None
-        ]
-        launch = _Launch(position=max(positions, default=0), grants=grants)
-        for partition in self._partitions(grants):
-            self._in_flight[partition] = self._in_flight.get(partition, 0) + 1
-        nursery.start_soon(self._launch, launch)
-
-    async def _launch(self, launch: _Launch) -> None:
-        try:
-            await self._works.settle_position(launch.position)
-            await self._confirm_all(launch.grants)
-        finally:
-            for partition in self._partitions(launch.grants):
-                self._in_flight[partition] -= 1
-
-    async def _confirm_all(self, grants: list[Grant]) -> None:
-        """Confirm grants whose works are still here and still wanted."""
-        by_agent: dict[tuple[Incarnation | None, PartitionId], list[Grant]] = {}
-        for grant in grants:
-            record = self._record(grant)
-            if record is None:
-                continue
-            if record.cancelled:
-                self._settler.ask(grant.attempt, grant.site, stop=True)
-                continue
-            self._waits.end(record.work)
-            agent = self._ownership.owner(
-                self._fleet.partition(grant.site.rack),
-            )
-            key = (
-                agent.incarnation if agent else None,
-                self._works.partition(record.work.id),
-            )
-            by_agent.setdefault(key, []).append(grant)
-        for (_, partition), batch in by_agent.items():
-            if self._ownership.epoch(partition) is not None:
-                await self._confirm(batch, self._ownership.origin(partition))
-
-    async def _confirm(self, grants: list[Grant], origin: Origin) -> None:
-        rack = grants[0].site.rack
-        agent = self._ownership.owner(self._fleet.partition(rack))
-        request = Confirm(
-            origin=origin,
-            confirmations=[
-                Confirmation(
-                    attempt=grant.attempt,
-                    payload=self._payload(grant),
-                )
-                for grant in grants
-            ],
-        )
-        if agent is None:
-            self._ask_all(grants)
-            return
-        if self._membership.is_me(agent):
-            confirmed = self._fleet.confirm(request)
-        else:
-            reply = await self._call(agent, request)
-            if not isinstance(reply, Confirmed):
-                self._ask_all(grants)
-                return
-            confirmed = reply
-        self._end_refused(confirmed.refused, grants)
-
-    def _end_refused(
-        self, refused: list[AttemptId], grants: list[Grant]
-    ) -> None:
-        """Settle refused attempts by asking, which also seals them."""
-        lost = set(refused)
-        self._ask_all([grant for grant in grants if grant.attempt in lost])
-
-    def _ask_all(self, grants: list[Grant]) -> None:
-        for grant in grants:
-            self._settler.ask(grant.attempt, grant.site, stop=False)
-
-    async def _call(self, agent: Member, request: object) -> object:
-        try:
-            return await self._peers.call(
-                address=agent.peer,
-                message=request,
-                timeout_s=defaults.PEER_CALL_TIMEOUT_S,
-            )
-        except PeerSilentError:
-            self._view.forget(agent.incarnation)
-            return None
-
     # Room at peers
 
     async def _spill(self, lane: Lane, nursery: trio.Nursery) -> None:
@@ -347,6 +281,9 @@
             await self._spill_gang(lane, nursery)
             return
         candidates = self._view.candidates(lane.key.pool, lane.key.resources)
+        work = lane.first()
+        if not candidates and work and self._fairness.is_owed(work):
+            candidates = self._view.holders(lane.key.pool)
         records = list(islice(lane.works.values(), _SPILL_NEEDS))
         for peer in candidates[:_SPILL_PEERS]:
             await self._spill_to(peer, records, nursery)
@@ -393,13 +330,14 @@
             origin=self._ownership.origin(partition),
             needs=needs,
             partial=partial,
+            owed=self._is_owed(needs[0]),
         )
         self._count_tries(needs)
-        reply = await self._call(agent, request)
+        reply = await self._launcher.call(agent, request)
         if isinstance(reply, Reserved):
             return reply.grants
         attempts = [need.attempt for need in needs]
-        self._start_soon(self._release, agent, partition, attempts)
+        self._start_soon(self._launcher.release, agent, partition, attempts)
         return []
 
     def _count_tries(self, needs: list[Need]) -> None:
@@ -422,9 +360,9 @@
             self._note_placed(record, batch)
             used.extend(batch)
         if used:
-            self._launch_later(used, nursery)
+            self._launcher.launch_later(used, nursery)
         if unused:
-            nursery.start_soon(self._cancel, unused)
+            nursery.start_soon(self._launcher.cancel, unused)
 
     def _still_waits(self, record: WorkRecord, grants: list[Grant]) -> bool:
         """Tell whether the tasks still wait, after a reply took its time."""
@@ -442,32 +380,6 @@
             and self._works.partition(record.work.id) not in self._closed
         )
 
-    async def _cancel(self, grants: list[Grant]) -> None:
-        """Give back reservations that are not used; expiry does the rest."""
-        groups: dict[tuple[PartitionId, PartitionId], list[AttemptId]] = {}
-        for grant in grants:
-            work, _, _ = split_attempt(grant.attempt)
-            rack = self._fleet.partition(grant.site.rack)
-            key = (self._works.partition(work), rack)
-            groups.setdefault(key, []).append(grant.attempt)
-        for (partition, rack), attempts in groups.items():
-            agent = self._ownership.owner(rack)
-            if agent is not None:
-                await self._release(agent, partition, attempts)
-
-    async def _release(
-        self, agent: Member, partition: PartitionId, attempts: list[AttemptId]
-    ) -> None:
-        if self._ownership.epoch(partition) is None:
-            return
-        request = Release(
-            origin=self._ownership.origin(partition), attempts=attempts
-        )
-        if self._membership.is_me(agent):
-            self._fleet.release(request)
-        else:
-            await self._call(agent, request)
-
     async def _spill_gang(self, lane: Lane, nursery: trio.Nursery) -> None:
         """Reserve a gang's tasks here and at peers: all of them or none.
 
@@ -506,12 +418,16 @@
                 ),
             )
         if _missing(needs, grants):
-            await self._cancel(grants)
+            await self._launcher.cancel(grants)
             return
         self._use_grants(grants, nursery)
 
     # Small helpers
 
+    def _is_owed(self, need: Need) -> bool:
+        record = self._works.find(split_attempt(need.attempt)[0])
+        return record is not None and self._fairness.is_owed(record.work)
+
     def _start_soon(self, step: Callable[..., Any], *arguments: Any) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(step, *arguments)
@@ -519,20 +435,6 @@
     def _origin(self, record: WorkRecord) -> Origin:
         return self._ownership.origin(self._works.partition(record.work.id))
 
-    def _record(self, grant: Grant) -> WorkRecord | None:
-        work, _, _ = split_attempt(grant.attempt)
-        return self._works.find(work)
-
-    def _payload(self, grant: Grant) -> str:
-        record = self._record(grant)
-        return record.work.payload if record else ''
-
-    def _partitions(self, grants: list[Grant]) -> set[PartitionId]:
-        return {
-            self._works.partition(split_attempt(grant.attempt)[0])
-            for grant in grants
-        }
-
 
 def _missing(needs: list[Need], grants: list[Grant]) -> list[Need]:
     granted = {grant.attempt for grant in grants}
--- a/packages/cyclamentrack/cyclamentrack/index.py
+++ b/packages/cyclamentrack/cyclamentrack/index.py
@@ -38,6 +38,8 @@
     memory: int
     accelerators: int
     slots: int
+    lookup_cores: int = 0
+    lookup_memory: int = 0
     cell: Cell | None = None
     group: int = 0
     slot_bucket: int | None = None
@@ -50,6 +52,14 @@
             and need.accelerators <= self.accelerators
         )
 
+    def reserves(self, need: Resources) -> bool:
+        """Tell whether the need fits in what is kept for lookups."""
+        return (
+            need.milli_cores <= self.lookup_cores
+            and need.memory_mib <= self.lookup_memory
+            and not need.accelerators
+        )
+
 
 def level(amount: int, whole: int) -> int:
     """Return the level of an amount, from zero to ``_LEVELS``.
@@ -180,9 +190,10 @@
         for slots in reversed(self._by_slots):
             if slots < 1:
                 return
-            row = _fitting(self._by_slots[slots], need)
-            if row is not None:
-                yield row
+            rows = reversed(self._by_slots[slots].values())
+            for row in _first(rows, _CELL_TRIES):
+                if row.reserves(need) or row.holds(need):
+                    yield row
 
     def roomiest(self, need: Resources) -> Iterator[RoomRow]:
         """Yield workers that hold the need, roomiest of each kind first."""
--- a/packages/cyclamentrack/cyclamentrack/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/journal.py
@@ -18,6 +18,7 @@
 from cyclamentrack.events import Event
 from cyclamentrack.ids import DaemonId, Incarnation
 from cyclamentrack.membership import Membership
+from cyclamentrack.metrics import Metrics
 from cyclamentrack.ports import (
     Absent,
     Delete,
@@ -53,11 +54,13 @@
         table: Table,
         membership: Membership,
         writers: Callable[[], int],
+        metrics: Metrics,
     ) -> None:
         """Start empty; ``writers`` tells how many daemons share the budget."""
         self._table = table
         self._membership = membership
         self._writers = writers
+        self._metrics = metrics
         self._pending: dict[int, Event] = {}
         self._appended = 0
         self._settled = 0
@@ -155,9 +158,10 @@
 
     async def _write(self, events: list[Event]) -> None:
         me = self._membership.me
+        with self._metrics.timed('journal'):
+            body = encode(JournalRow(events=events))
         proof = Put(
-            key=journal_key(me.daemon, me.incarnation, self._row),
-            body=encode(JournalRow(events=events)),
+            key=journal_key(me.daemon, me.incarnation, self._row), body=body
         )
         deletes = self._deletes[:_DELETES_PER_COMMIT]
         writes: list[Write] = [proof]
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/launch.py
@@ -0,0 +1,208 @@
+"""Launch: confirms reservations whose intents are on record.
+
+A start is never sent before the journal holds its intent. Where the owner of
+the worker stays silent or refuses, the attempt is asked about.
+"""
+
+import msgspec
+import trio
+
+from cyclamentrack import defaults
+from cyclamentrack.book import WorkRecord
+from cyclamentrack.cellview import CellView
+from cyclamentrack.errors import PeerSilentError
+from cyclamentrack.fleet import Fleet
+from cyclamentrack.ids import (
+    AttemptId,
+    Incarnation,
+    PartitionId,
+    split_attempt,
+)
+from cyclamentrack.membership import Member, Membership
+from cyclamentrack.messages import (
+    Confirm,
+    Confirmation,
+    Confirmed,
+    Grant,
+    Origin,
+    PeerMessage,
+    Release,
+)
+from cyclamentrack.ownership import Ownership
+from cyclamentrack.ports import Peers
+from cyclamentrack.settle import Settler
+from cyclamentrack.waits import Waits
+from cyclamentrack.works import Works
+
+
+class _Launch(msgspec.Struct, frozen=True, kw_only=True):
+    """Attempts whose intents were journalled up to a position."""
+
+    position: int
+    grants: list[Grant]
+
+
+class Launcher:
+    """Confirms reservations, or gives them back."""
+
+    def __init__(
+        self,
+        *,
+        works: Works,
+        fleet: Fleet,
+        ownership: Ownership,
+        membership: Membership,
+        view: CellView,
+        peers: Peers,
+        settler: Settler,
+        waits: Waits,
+    ) -> None:
+        """Launch nothing yet."""
+        self._works = works
+        self._fleet = fleet
+        self._ownership = ownership
+        self._membership = membership
+        self._view = view
+        self._peers = peers
+        self._settler = settler
+        self._waits = waits
+        self._in_flight: dict[PartitionId, int] = {}
+
+    def is_idle(self, partition: PartitionId) -> bool:
+        """Tell whether no launch of a partition's work is in flight."""
+        return not self._in_flight.get(partition)
+
+    def launch_later(self, grants: list[Grant], nursery: trio.Nursery) -> None:
+        """Start granted attempts once their intents are durable."""
+        positions = [
+            record.position
+            for record in map(self._record, grants)
+            if record is not None
+        ]
+        launch = _Launch(position=max(positions, default=0), grants=grants)
+        for partition in self._partitions(grants):
+            self._in_flight[partition] = self._in_flight.get(partition, 0) + 1
+        nursery.start_soon(self._launch, launch)
+
+    async def cancel(self, grants: list[Grant]) -> None:
+        """Give back reservations that are not used; expiry does the rest."""
+        groups: dict[tuple[PartitionId, PartitionId], list[AttemptId]] = {}
+        for grant in grants:
+            work, _, _ = split_attempt(grant.attempt)
+            rack = self._fleet.partition(grant.site.rack)
+            key = (self._works.partition(work), rack)
+            groups.setdefault(key, []).append(grant.attempt)
+        for (partition, rack), attempts in groups.items():
+            agent = self._ownership.owner(rack)
+            if agent is not None:
+                await self.release(agent, partition, attempts)
+
+    async def release(
+        self, agent: Member, partition: PartitionId, attempts: list[AttemptId]
+    ) -> None:
+        """Give reservations back at the owner of their worker."""
+        if self._ownership.epoch(partition) is None:
+            return
+        request = Release(
+            origin=self._ownership.origin(partition), attempts=attempts
+        )
+        if self._membership.is_me(agent):
+            self._fleet.release(request)
+        else:
+            await self.call(agent, request)
+
+    async def call(
+        self, agent: Member, request: PeerMessage
+    ) -> PeerMessage | None:
+        """Ask a peer; ``None`` when it gave no answer."""
+        try:
+            return await self._peers.call(
+                address=agent.peer,
+                message=request,
+                timeout_s=defaults.PEER_CALL_TIMEOUT_S,
+            )
+        except PeerSilentError:
+            self._view.forget(agent.incarnation)
+            return None
+
+    async def _launch(self, launch: _Launch) -> None:
+        try:
+            await self._works.settle_position(launch.position)
+            await self._confirm_all(launch.grants)
+        finally:
+            for partition in self._partitions(launch.grants):
+                self._in_flight[partition] -= 1
+
+    async def _confirm_all(self, grants: list[Grant]) -> None:
+        """Confirm grants whose works are still here and still wanted."""
+        by_agent: dict[tuple[Incarnation | None, PartitionId], list[Grant]] = {}
+        for grant in grants:
+            record = self._record(grant)
+            if record is None:
+                continue
+            if record.cancelled:
+                self._settler.ask(grant.attempt, grant.site, stop=True)
+                continue
+            self._waits.end(record.work)
+            agent = self._ownership.owner(
+                self._fleet.partition(grant.site.rack),
+            )
+            key = (
+                agent.incarnation if agent else None,
+                self._works.partition(record.work.id),
+            )
+            by_agent.setdefault(key, []).append(grant)
+        for (_, partition), batch in by_agent.items():
+            if self._ownership.epoch(partition) is not None:
+                await self._confirm(batch, self._ownership.origin(partition))
+
+    async def _confirm(self, grants: list[Grant], origin: Origin) -> None:
+        rack = grants[0].site.rack
+        agent = self._ownership.owner(self._fleet.partition(rack))
+        request = Confirm(
+            origin=origin,
+            confirmations=[
+                Confirmation(
+                    attempt=grant.attempt,
+                    payload=self._payload(grant),
+                )
+                for grant in grants
+            ],
+        )
+        if agent is None:
+            self._ask_all(grants)
+            return
+        if self._membership.is_me(agent):
+            confirmed = self._fleet.confirm(request)
+        else:
+            reply = await self.call(agent, request)
+            if not isinstance(reply, Confirmed):
+                self._ask_all(grants)
+                return
+            confirmed = reply
+        self._end_refused(confirmed.refused, grants)
+
+    def _end_refused(
+        self, refused: list[AttemptId], grants: list[Grant]
+    ) -> None:
+        """Settle refused attempts by asking, which also seals them."""
+        lost = set(refused)
+        self._ask_all([grant for grant in grants if grant.attempt in lost])
+
+    def _ask_all(self, grants: list[Grant]) -> None:
+        for grant in grants:
+            self._settler.ask(grant.attempt, grant.site, stop=False)
+
+    def _record(self, grant: Grant) -> WorkRecord | None:
+        work, _, _ = split_attempt(grant.attempt)
+        return self._works.find(work)
+
+    def _payload(self, grant: Grant) -> str:
+        record = self._record(grant)
+        return record.work.payload if record else ''
+
+    def _partitions(self, grants: list[Grant]) -> set[PartitionId]:
+        return {
+            self._works.partition(split_attempt(grant.attempt)[0])
+            for grant in grants
+        }
--- a/packages/cyclamentrack/cyclamentrack/ledger.py
+++ b/packages/cyclamentrack/cyclamentrack/ledger.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cyclamentrack import defaults
 from cyclamentrack.ids import BootId, PoolName, WorkerId
 from cyclamentrack.index import RoomIndex, RoomRow
 from cyclamentrack.messages import PoolSummary
@@ -22,6 +23,26 @@
     worker: WorkerId
     resources: Resources
     slots: int = 0
+    reserved: bool = False
+
+
+def kept_for_lookups(instance: Instance) -> Resources:
+    """Return what a worker keeps for lookups, whatever else it runs."""
+    return Resources(
+        milli_cores=instance.slots * defaults.LOOKUP_SLOT_MILLI_CORES,
+        memory_mib=instance.slots * defaults.LOOKUP_SLOT_MEMORY_MIB,
+    )
+
+
+def task_room(instance: Instance) -> Resources:
+    """Return what a worker has for tasks: all but what lookups keep."""
+    kept = kept_for_lookups(instance)
+    whole = instance.capacity
+    return Resources(
+        milli_cores=max(whole.milli_cores - kept.milli_cores, 0),
+        memory_mib=max(whole.memory_mib - kept.memory_mib, 0),
+        accelerators=whole.accelerators,
+    )
 
 
 class Ledger:
@@ -38,6 +59,7 @@
 
     def add(self, instance: Instance, *, boot: BootId) -> None:
         """Take a worker on, closed to new holds until it is opened."""
+        room = task_room(instance)
         row = RoomRow(
             id=instance.id,
             rack=instance.rack,
@@ -45,10 +67,12 @@
             pool=instance.pool,
             boot=boot,
             capacity=instance.capacity,
-            cores=instance.capacity.milli_cores,
-            memory=instance.capacity.memory_mib,
-            accelerators=instance.capacity.accelerators,
+            cores=room.milli_cores,
+            memory=room.memory_mib,
+            accelerators=room.accelerators,
             slots=instance.slots,
+            lookup_cores=instance.capacity.milli_cores - room.milli_cores,
+            lookup_memory=instance.capacity.memory_mib - room.memory_mib,
         )
         self._rows[instance.id] = row
         self._held_on[instance.id] = {}
@@ -95,9 +119,16 @@
         goes below zero and nothing is placed until it is above again.
         """
         row = self._rows[worker]
-        self._holds[key] = Hold(worker=worker, resources=resources, slots=slots)
+        reserved = slots > 0 and row.reserves(resources)
+        held = Hold(
+            worker=worker,
+            resources=resources,
+            slots=slots,
+            reserved=reserved,
+        )
+        self._holds[key] = held
         self._held_on[worker][key] = None
-        self._charge(row, resources, slots)
+        self._charge(row, held, 1)
 
     def release(self, key: str) -> Hold | None:
         """Give back what a hold took; a second release does nothing."""
@@ -106,11 +137,7 @@
             return None
         row = self._rows[held.worker]
         self._held_on[held.worker].pop(key)
-        row.cores += held.resources.milli_cores
-        row.memory += held.resources.memory_mib
-        row.accelerators += held.resources.accelerators
-        row.slots += held.slots
-        self._reindex(row)
+        self._charge(row, held, -1)
         return held
 
     def holder(self, key: str) -> Hold | None:
@@ -184,11 +211,16 @@
             largest_worker=_largest([row.capacity for row in members]),
         )
 
-    def _charge(self, row: RoomRow, resources: Resources, slots: int) -> None:
-        row.cores -= resources.milli_cores
-        row.memory -= resources.memory_mib
-        row.accelerators -= resources.accelerators
-        row.slots -= slots
+    def _charge(self, row: RoomRow, held: Hold, sign: int) -> None:
+        """Take a hold's room, or with a negative sign give it back."""
+        row.slots -= sign * held.slots
+        if held.reserved:
+            row.lookup_cores -= sign * held.resources.milli_cores
+            row.lookup_memory -= sign * held.resources.memory_mib
+        else:
+            row.cores -= sign * held.resources.milli_cores
+            row.memory -= sign * held.resources.memory_mib
+            row.accelerators -= sign * held.resources.accelerators
         self._reindex(row)
 
     def _reindex(self, row: RoomRow) -> None:
--- a/packages/cyclamentrack/cyclamentrack/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/messages.py
@@ -95,12 +95,14 @@
 class Reserve(msgspec.Struct, frozen=True, kw_only=True, tag='reserve'):
     """Hold room for attempts until confirmed, cancelled or expired.
 
-    With ``partial`` a gang may get room for some of its tasks.
+    With ``partial`` a gang may get room for some of its tasks. ``owed`` says
+    that the work's urgency or team holds less than its due.
     """
 
     origin: Origin
     needs: list[Need]
     partial: bool = False
+    owed: bool = False
 
 
 class Grant(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/metrics.py
+++ b/packages/cyclamentrack/cyclamentrack/metrics.py
@@ -1,5 +1,9 @@
 """Counters and wait histograms, in the usual text exposition."""
 
+import contextlib
+import time
+from collections.abc import Generator
+
 from hdrh.histogram import HdrHistogram
 
 from cyclamentrack.work import Kind
@@ -17,6 +21,7 @@
         """Start at zero."""
         self.counters: dict[str, int] = {}
         self.gauges: dict[str, float] = {}
+        self._stages: dict[str, float] = {}
         self._waits = {
             kind: HdrHistogram(1, _HIGHEST_US, _DIGITS) for kind in Kind
         }
@@ -29,6 +34,16 @@
         """Set a gauge."""
         self.gauges[name] = amount
 
+    @contextlib.contextmanager
+    def timed(self, stage: str) -> Generator[None]:
+        """Add the time that a block takes to a stage, in seconds."""
+        begin = time.perf_counter()
+        try:
+            yield
+        finally:
+            spent = time.perf_counter() - begin
+            self._stages[stage] = self._stages.get(stage, 0) + spent
+
     def wait(self, kind: Kind, seconds: float) -> None:
         """Record how long work waited before it was placed."""
         micros = max(int(seconds * _US_PER_S), 1)
@@ -49,6 +64,10 @@
             f'cyclamentrack_{name} {amount}'
             for name, amount in sorted(self.gauges.items())
         )
+        lines.extend(
+            f'cyclamentrack_stage_seconds_total{{stage="{stage}"}} {spent}'
+            for stage, spent in sorted(self._stages.items())
+        )
         for kind in Kind:
             lines.extend(self._wait_lines(kind))
         return ''.join(f'{line}\n' for line in lines)
--- a/packages/cyclamentrack/cyclamentrack/node.py
+++ b/packages/cyclamentrack/cyclamentrack/node.py
@@ -23,6 +23,7 @@
 from cyclamentrack.fleet import Fleet
 from cyclamentrack.ids import Epoch, PartitionId
 from cyclamentrack.journal import Journal
+from cyclamentrack.launch import Launcher
 from cyclamentrack.lookups import LookupDesk
 from cyclamentrack.membership import Member, Membership, MemberState
 from cyclamentrack.messages import (
@@ -54,7 +55,7 @@
 )
 from cyclamentrack.queue import WorkQueue
 from cyclamentrack.reports import EndReporter
-from cyclamentrack.resources import NOTHING, Resources
+from cyclamentrack.resources import Resources
 from cyclamentrack.routing import Router, serve
 from cyclamentrack.settle import Settler
 from cyclamentrack.tickets import (
@@ -120,6 +121,7 @@
             table=platform.table,
             membership=self.membership,
             writers=lambda: len(self.membership.members),
+            metrics=self.metrics,
         )
         self.works = Works(journal=self.journal, partitions=partitions)
         self.ownership = Ownership(
@@ -217,7 +219,9 @@
             case RunLookup(work=work, deadline_s=deadline_s):
                 return await self.lookups.run_one(work, deadline_s)
             case Reserve():
-                return self.fleet.reserve(message)
+                reserved = self.fleet.reserve(message)
+                self.dispatcher.welcome(message, len(reserved.grants))
+                return reserved
             case Release():
                 self.fleet.release(message)
                 return Done()
@@ -237,11 +241,18 @@
         return _not_understood(message)
 
     def capacity(self) -> Resources:
-        """Return the capacity of the workers owned here."""
-        total = NOTHING
-        for row in self.fleet.ledger.rows():
-            total = total.plus(row.capacity)
-        return total
+        """Return this daemon's part of the cell's capacity.
+
+        Works spread evenly over partitions, so the part is that of the
+        partitions that are owned and not that of the workers.
+        """
+        total = self.admission.total()
+        share = self._own_share()
+        return Resources(
+            milli_cores=int(total.milli_cores * share),
+            memory_mib=int(total.memory_mib * share),
+            accelerators=int(total.accelerators * share),
+        )
 
     def _build_stages(self, *, tombstones: bool) -> None:
         platform = self._platform
@@ -263,6 +274,16 @@
             peers=platform.peers,
             take_ends=lambda ends: self.coordinator.take_ends(ends),
         )
+        self.launcher = Launcher(
+            works=self.works,
+            fleet=self.fleet,
+            ownership=self.ownership,
+            membership=self.membership,
+            view=self.view,
+            peers=platform.peers,
+            settler=self.settler,
+            waits=self.waits,
+        )
         self.dispatcher = Dispatcher(
             works=self.works,
             queue=self.queue,
@@ -270,7 +291,7 @@
             ownership=self.ownership,
             membership=self.membership,
             view=self.view,
-            peers=platform.peers,
+            launcher=self.launcher,
             settler=self.settler,
             fairness=Fairness(
                 usage=self.usage,
@@ -279,7 +300,7 @@
                 team_usage=self.view.team_usage,
             ),
             usage=self.usage,
-            waits=self.waits,
+            metrics=self.metrics,
         )
         self.admission = Admission(
             queue=self.queue,
@@ -368,9 +389,9 @@
         )
 
     def _is_quiet(self, partition: PartitionId) -> bool:
-        return self.dispatcher.is_idle(
-            partition,
-        ) and self.lookups.is_idle(partition)
+        return self.launcher.is_idle(partition) and self.lookups.is_idle(
+            partition
+        )
 
     def _book(self, partition: PartitionId) -> Book:
         if partition in self._departing:
--- a/packages/cyclamentrack/cyclamentrack/ownership.py
+++ b/packages/cyclamentrack/cyclamentrack/ownership.py
@@ -28,6 +28,7 @@
     Table,
     Transaction,
     VersionIs,
+    Write,
 )
 from cyclamentrack.recovery import BookReader, Source, SourceKind
 from cyclamentrack.store import commit_settled
@@ -35,6 +36,7 @@
 _log = logging.getLogger(__name__)
 
 _PREFIX = 'partition/'
+_STAMP_KEY = 'partitions/stamp'
 _RELEASES_PER_ROUND = 4
 _STEADY_S = 2.0
 
@@ -117,6 +119,8 @@
         self._seen: dict[PartitionId, PartitionRow] = {}
         self._versions: dict[PartitionId, int] = {}
         self._claims = 0
+        self._mark: tuple[int, frozenset[Incarnation]] | None = None
+        self._rescan_at = float('-inf')
         self._draining = False
         self._rewriting = trio.Lock()
         self._steady_since = float('inf')
@@ -169,20 +173,23 @@
             await trio.sleep(defaults.CLAIM_INTERVAL_S)
 
     async def refresh(self) -> None:
-        """Read all partition rows."""
-        rows = await self._table.scan(
-            prefix=_PREFIX,
-            limit=self._partitions,
-            after='',
+        """Read the partition rows if one of them may have changed hands.
+
+        Each change of owner also writes one small row, whose version is
+        read first; the many rows are only read again when it has changed.
+        """
+        stamp = (await self._table.read(keys=[_STAMP_KEY]))[0]
+        version = stamp.version if stamp else 0
+        members = frozenset(
+            member.incarnation for member in self._membership.members
         )
-        before = {key: row.epoch for key, row in self._seen.items()}
-        for row in rows:
-            entry = decode(row.body, PartitionRow)
-            self._seen[entry.partition] = entry
-            self._versions[entry.partition] = row.version
-        after = {key: row.epoch for key, row in self._seen.items()}
-        if before != after:
-            self._announce()
+        mark = (version, members)
+        due = trio.current_time() >= self._rescan_at
+        if mark == self._mark and not due:
+            return
+        await self._rescan()
+        self._mark = mark
+        self._rescan_at = trio.current_time() + defaults.RESCAN_INTERVAL_S
 
     async def drain(self) -> None:
         """Hand every partition over; claim none from now on."""
@@ -216,6 +223,21 @@
         ]
         return min(rows, default=self._journal.open_row)
 
+    async def _rescan(self) -> None:
+        rows = await self._table.scan(
+            prefix=_PREFIX,
+            limit=self._partitions,
+            after='',
+        )
+        before = {key: row.epoch for key, row in self._seen.items()}
+        for row in rows:
+            entry = decode(row.body, PartitionRow)
+            self._seen[entry.partition] = entry
+            self._versions[entry.partition] = row.version
+        after = {key: row.epoch for key, row in self._seen.items()}
+        if before != after:
+            self._announce()
+
     async def _round(self) -> None:
         await self.refresh()
         if self._draining or not self._membership.valid:
@@ -352,7 +374,7 @@
                 table=self._table,
                 transaction=Transaction(
                     conditions=conditions,
-                    writes=[proof],
+                    writes=self._writes(row, proof),
                 ),
                 proof=proof,
             )
@@ -361,6 +383,13 @@
         self._seen[row.partition] = row
         return True
 
+    def _writes(self, row: PartitionRow, proof: Put) -> list[Write]:
+        known = self._seen.get(row.partition)
+        same = known and known.owner == row.owner and known.epoch == row.epoch
+        if same:
+            return [proof]
+        return [proof, Put(key=_STAMP_KEY, body=row.claim.encode())]
+
     async def _write_image(self, partition: PartitionId) -> tuple[int, str]:
         """Write a book that holds durable events only; return row and key.
 
--- a/packages/cyclamentrack/cyclamentrack/queue.py
+++ b/packages/cyclamentrack/cyclamentrack/queue.py
@@ -14,6 +14,8 @@
 from cyclamentrack.resources import Resources
 from cyclamentrack.work import Kind, Urgency, Work
 
+_NOTHING_S = 1e-6
+
 
 class LaneKey(msgspec.Struct, frozen=True, kw_only=True):
     """What the works of one lane have in common."""
@@ -32,6 +34,11 @@
     key: LaneKey
     works: dict[WorkId, WorkRecord]
 
+    def first(self) -> Work | None:
+        """Return the oldest work, or ``None``."""
+        record = next(iter(self.works.values()), None)
+        return record.work if record else None
+
 
 class WorkQueue:
     """All lanes of a daemon."""
@@ -40,7 +47,7 @@
         """Start empty."""
         self._lanes: dict[LaneKey, Lane] = {}
         self._lane_of: dict[WorkId, LaneKey] = {}
-        self._demand_s: dict[Urgency, float] = dict.fromkeys(Urgency, 0.0)
+        self._demand_s: dict[tuple[Urgency, TeamName], float] = {}
 
     def __len__(self) -> int:
         """Return how many works wait."""
@@ -62,7 +69,7 @@
             self._lanes[key] = lane
         lane.works[work.id] = record
         self._lane_of[work.id] = key
-        self._demand_s[work.urgency] += core_seconds(work)
+        self._count(work, 1)
 
     def discard(self, work: WorkId) -> None:
         """Let a work wait no more."""
@@ -71,7 +78,7 @@
             return
         lane = self._lanes[key]
         record = lane.works.pop(work)
-        self._demand_s[key.urgency] -= core_seconds(record.work)
+        self._count(record.work, -1)
         if not lane.works:
             self._lanes.pop(key)
 
@@ -86,7 +93,27 @@
 
     def demand_s(self, urgency: Urgency) -> float:
         """Return the core-seconds that wait at an urgency."""
-        return max(self._demand_s[urgency], 0)
+        return sum(
+            amount
+            for (level, _), amount in self._demand_s.items()
+            if level is urgency
+        )
+
+    def team_demand_s(self, urgency: Urgency, team: TeamName) -> float:
+        """Return the core-seconds of one team that wait at an urgency."""
+        return self._demand_s.get((urgency, team), 0)
+
+    def teams(self, urgency: Urgency) -> int:
+        """Return how many teams have works waiting at an urgency."""
+        return sum(1 for level, _ in self._demand_s if level is urgency)
+
+    def _count(self, work: Work, sign: int) -> None:
+        key = (work.urgency, work.team)
+        amount = self._demand_s.get(key, 0) + sign * core_seconds(work)
+        if amount > _NOTHING_S:
+            self._demand_s[key] = amount
+        else:
+            self._demand_s.pop(key, None)
 
 
 def lane_key(work: Work) -> LaneKey:
--- a/packages/cyclamentrack/cyclamentrack/resources.py
+++ b/packages/cyclamentrack/cyclamentrack/resources.py
@@ -4,9 +4,9 @@
 
 import msgspec
 
-_MAX_MILLI_CORES = 1_024_000
-_MAX_MEMORY_MIB = 16 * 1024 * 1024
-_MAX_ACCELERATORS = 64
+_MAX_MILLI_CORES = 10**10
+_MAX_MEMORY_MIB = 10**12
+_MAX_ACCELERATORS = 10**6
 
 MilliCores = Annotated[int, msgspec.Meta(ge=0, le=_MAX_MILLI_CORES)]
 MemoryMib = Annotated[int, msgspec.Meta(ge=0, le=_MAX_MEMORY_MIB)]
--- a/packages/cyclamentrack/cyclamentrack/tickets.py
+++ b/packages/cyclamentrack/cyclamentrack/tickets.py
@@ -52,8 +52,8 @@
     Urgency.DEFERRABLE: 12 * defaults.QUEUE_WAIT_S,
 }
 _FLOORS = {
-    Urgency.URGENT: 0.2,
-    Urgency.NORMAL: 0.2,
+    Urgency.URGENT: 0.1,
+    Urgency.NORMAL: 0.1,
     Urgency.DEFERRABLE: 0.1,
 }
 
--- a/packages/cyclamentrack/cyclamentrack/usage.py
+++ b/packages/cyclamentrack/cyclamentrack/usage.py
@@ -72,6 +72,10 @@
         counter = self._teams.get(team)
         return counter.total() if counter else NOTHING
 
+    def count_teams(self) -> int:
+        """Return how many teams hold anything."""
+        return sum(1 for counter in self._teams.values() if counter.cores > 0)
+
     def teams(self) -> list[TeamUsage]:
         """Return what each team's tasks hold."""
         return [
