--- a/features/harness/guards.py
+++ b/features/harness/guards.py
@@ -15,6 +15,7 @@
 from cyclamentrack.coordinator import Coordinator
 from cyclamentrack.ledger import Ledger
 from cyclamentrack.membership import Membership
+from cyclamentrack.node import Node
 from cyclamentrack.ownership import Ownership
 from cyclamentrack.ports import Absent
 from cyclamentrack.upstream import Upstream
@@ -156,6 +157,25 @@
         yield
 
 
+@contextlib.contextmanager
+def _peers_by_name() -> Generator[None]:
+    def is_me(membership: Membership, member: Any) -> bool:
+        return member.daemon == membership.me.daemon
+
+    with mock.patch.object(Membership, 'is_me', is_me):
+        yield
+
+
+@contextlib.contextmanager
+def _keep_dead_rows() -> Generator[None]:
+    async def remove(node: Node) -> None:
+        del node
+        await trio.lowlevel.checkpoint()
+
+    with mock.patch.object(Node, '_remove_dead_rows', remove):
+        yield
+
+
 GUARDS: dict[str, Patch] = {
     'commits depend on the own row': _no_conditional_commit,
     'a seal refuses what is older': _no_seal,
@@ -169,4 +189,6 @@
     'a gang is placed whole': _place_some,
     'a stop follows a cancel': _no_stop,
     'a draining daemon follows the owners': _blind_drain,
+    'peers are told apart by incarnation': _peers_by_name,
+    'journals of the dead are removed': _keep_dead_rows,
 }
--- a/features/harness/scripts.py
+++ b/features/harness/scripts.py
@@ -295,6 +295,55 @@
     stand.finish()
 
 
+def twin_names(stand: Stand) -> None:
+    """A second daemon of the same name starts while the first one lives."""
+    stand.world.loop.run(_start, stand, 'b')
+    stand.sleep(_TAKEOVER_S)
+    for node in list(stand.world.cell.nodes.values()):
+        for number in range(6):
+            name = f'from-{node.me.incarnation}-{number}'
+            answer = stand.submit(make_work(name, run_s=1.0), node)
+            assert answer.view is not None, answer
+    stand.finish()
+
+
+def crowded_gang(stand: Stand) -> None:
+    """A gang waits for room at all daemons while other work has it."""
+    owner = _busiest(stand)
+    resources = Resources(milli_cores=15_000, memory_mib=1024)
+    long = stand.work_of(
+        owner, idempotent=True, tasks=4, resources=resources, run_s=20.0
+    )
+    stand.submit(long, owner)
+    stand.sleep(3)
+    gang = stand.work_of(
+        owner,
+        kind=Kind.GANG,
+        idempotent=True,
+        tasks=6,
+        resources=resources,
+        run_s=2.0,
+    )
+    stand.submit(gang, owner)
+    stand.finish()
+
+
+def dead_journal(stand: Stand) -> None:
+    """The journal of a dead daemon is removed once no book needs it."""
+    owner = _busiest(stand)
+    stand.submit(stand.work_of(owner, run_s=1.0), owner)
+    stand.sleep(2)
+    stand.world.loop.run(_kill, stand, owner)
+    stand.sleep(_TAKEOVER_S)
+    stand.finish()
+    work = make_work('one-more', run_s=1.0)
+    stand.submit(work, stand.world.any_node())
+    stand.sleep(_END_S)
+    rows = stand.world.loop.run(_journal_rows, stand)
+    left = [row.key for row in rows if owner.me.incarnation in row.key]
+    assert not left, left
+
+
 def lookups_in_outage(stand: Stand) -> None:
     """Lookups go on while the table service is out for half a minute."""
     stand.world.cell.table.faults = StoreFaults(out=True)
@@ -330,6 +379,9 @@
         cancel_wave,
         spread_gang,
         drained_daemon,
+        twin_names,
+        crowded_gang,
+        dead_journal,
         lookups_in_outage,
     )
 }
@@ -351,6 +403,16 @@
     )
 
 
+async def _start(stand: Stand, name: str) -> None:
+    stand.world.cell.start_daemon(name)
+
+
+async def _journal_rows(stand: Stand) -> list[Any]:
+    return await stand.world.cell.table.scan(
+        prefix='journal/', limit=1000, after=''
+    )
+
+
 async def _kill(stand: Stand, node: Node) -> None:
     stand.world.cell.kill(node)
 
--- a/features/promises/failures.feature
+++ b/features/promises/failures.feature
@@ -20,6 +20,15 @@
       | spread gang        | a gang is placed whole                 |
       | drained daemon     | a draining daemon follows the owners   |
 
+    Examples: found by fuzzing or by reading
+      | script       | guard                               |
+      | twin names   | peers are told apart by incarnation |
+      | dead journal | journals of the dead are removed    |
+
+  Scenario: A gang that finds no room neither spins nor starves
+    When the script "crowded gang" runs
+    Then every promise was kept
+
   Scenario: Lookups go on while the table service is out
     When the script "lookups in outage" runs
     Then every promise was kept
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
@@ -20,6 +20,7 @@
     WorkerRefusedError,
     WorkerSilentError,
 )
+from cyclamentrack.ids import WorkerId
 from cyclamentrack.ports import (
     Instance,
     Instances,
@@ -238,7 +239,7 @@
 
     def __init__(self) -> None:
         """Start without connections."""
-        self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
+        self._pools: dict[WorkerId, httpcore.AsyncConnectionPool] = {}
 
     async def seal(self, *, instance: Instance, seal: Seal) -> SyncAnswer:
         """Seal a worker."""
@@ -264,7 +265,7 @@
         return msgspec.json.decode(reply.body, type=SyncAnswer)
 
     async def _ask(self, instance: Instance, verb: str, request: Any) -> _Reply:
-        pool = self._pool(instance.address)
+        pool = self._pool(instance.id)
         url = f'http://{instance.address}/v1/workers/{instance.id}/{verb}'
         try:
             reply = await _call(
@@ -285,12 +286,13 @@
             raise WorkerSilentError(worker=instance.id)
         return reply
 
-    def _pool(self, address: str) -> httpcore.AsyncConnectionPool:
-        pool = self._pools.get(address)
+    def _pool(self, worker: WorkerId) -> httpcore.AsyncConnectionPool:
+        """Return a worker's pool; a shared one looks at all for each call."""
+        pool = self._pools.get(worker)
         if pool is None:
             pool = httpcore.AsyncConnectionPool(
                 max_connections=_WORKER_CONNECTIONS,
                 keepalive_expiry=_KEEP_ALIVE_S,
             )
-            self._pools[address] = pool
+            self._pools[worker] = pool
         return pool
--- a/packages/cyclamentrack/cyclamentrack/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/journal.py
@@ -31,6 +31,7 @@
 
 _log = logging.getLogger(__name__)
 
+JOURNAL_PREFIX = 'journal/'
 _DELETES_PER_COMMIT = 200
 
 
@@ -42,7 +43,12 @@
 
 def journal_key(daemon: DaemonId, incarnation: Incarnation, row: int) -> str:
     """Return the key of one journal row; keys sort by row number."""
-    return f'journal/{daemon}/{incarnation}/{row:012d}'
+    return f'{JOURNAL_PREFIX}{daemon}/{incarnation}/{row:012d}'
+
+
+def journal_of(key: str) -> Incarnation:
+    """Return the incarnation whose journal a row belongs to."""
+    return Incarnation(key.split('/')[2])
 
 
 class Journal:
@@ -124,6 +130,7 @@
     def delete_later(self, keys: list[str]) -> None:
         """Let later commits delete rows that nothing refers to any more."""
         self._deletes.extend(keys)
+        self._wake.set()
 
     async def run(self) -> None:
         """Commit windows of events until cancelled.
@@ -147,7 +154,7 @@
         positions = list(self._pending)[: defaults.JOURNAL_ROW_EVENTS]
         events = [self._pending.pop(position) for position in positions]
         last = positions[-1] if positions else self._appended
-        if events:
+        if events or self._deletes:
             await self._write(events)
         self._settled = last
         if not self._pending:
--- a/packages/cyclamentrack/cyclamentrack/node.py
+++ b/packages/cyclamentrack/cyclamentrack/node.py
@@ -18,7 +18,13 @@
 from cyclamentrack.cellview import CellView
 from cyclamentrack.coordinator import Coordinator
 from cyclamentrack.dispatch import Dispatcher
-from cyclamentrack.errors import ErrorKind, PeerSilentError, Problem, Ran
+from cyclamentrack.errors import (
+    ErrorKind,
+    PeerSilentError,
+    Problem,
+    Ran,
+    StoreUncertainError,
+)
 from cyclamentrack.fairness import Fairness
 from cyclamentrack.fleet import Fleet
 from cyclamentrack.ids import Epoch, PartitionId
@@ -434,9 +440,25 @@
                 if partition in self.ownership.held:
                     await self.ownership.snapshot(partition)
             self.journal.truncate(self.ownership.oldest_row())
+            await self._remove_dead_rows()
             if not held:
                 await trio.sleep(pause)
 
+    async def _remove_dead_rows(self) -> None:
+        """Let the first of the daemons delete the journals of dead ones."""
+        first = min(
+            (member.incarnation for member in self.membership.members),
+            default='',
+        )
+        if first != self.me.incarnation or not self.membership.valid:
+            return
+        try:
+            keys = await self.ownership.find_dead_rows()
+        except StoreUncertainError:
+            return
+        if keys:
+            self.journal.delete_later(keys)
+
     async def _summarize_forever(self) -> None:
         while True:
             await self._push(self._summary(), limit=defaults.SUMMARY_PEERS)
--- a/packages/cyclamentrack/cyclamentrack/ownership.py
+++ b/packages/cyclamentrack/cyclamentrack/ownership.py
@@ -17,7 +17,7 @@
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import ConditionFailedError, StoreUncertainError
 from cyclamentrack.ids import DaemonId, Epoch, Incarnation, PartitionId
-from cyclamentrack.journal import Journal
+from cyclamentrack.journal import JOURNAL_PREFIX, Journal, journal_of
 from cyclamentrack.membership import Member, Membership, MemberState, member_key
 from cyclamentrack.messages import Origin
 from cyclamentrack.ports import (
@@ -39,6 +39,7 @@
 _STAMP_KEY = 'partitions/stamp'
 _RELEASES_PER_ROUND = 4
 _STEADY_S = 2.0
+_DEAD_ROWS = 200
 
 
 class PartitionRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -121,6 +122,7 @@
         self._claims = 0
         self._mark: tuple[int, frozenset[Incarnation]] | None = None
         self._rescan_at = float('-inf')
+        self._collected = ''
         self._draining = False
         self._rewriting = trio.Lock()
         self._steady_since = float('inf')
@@ -223,6 +225,27 @@
         ]
         return min(rows, default=self._journal.open_row)
 
+    async def find_dead_rows(self) -> list[str]:
+        """Return keys of journal rows that no book will be read from.
+
+        Once an incarnation is dead no partition begins to refer to it, so
+        rows read after its death that don't refer to it never will.
+        """
+        living = {member.incarnation for member in self._membership.members}
+        await self._rescan()
+        if len(self._seen) < self._partitions:
+            return []
+        wanted = living | {
+            source.incarnation
+            for row in self._seen.values()
+            for source in row.sources
+        }
+        rows = await self._table.scan(
+            prefix=JOURNAL_PREFIX, limit=_DEAD_ROWS, after=self._collected
+        )
+        self._collected = rows[-1].key if len(rows) == _DEAD_ROWS else ''
+        return [row.key for row in rows if journal_of(row.key) not in wanted]
+
     async def _rescan(self) -> None:
         rows = await self._table.scan(
             prefix=_PREFIX,
