Let the worker stand-in report use, throttle and checkpoint

Cause: the stand-in lacked what the platform's workers can do, so that the handling of over-users was never exercised. Change: use is reported with a lag, throttled attempts are held to what they were given, and a checkpoint shortens the task's next attempt there.

--- a/features/harness/guards.py
+++ b/features/harness/guards.py
@@ -166,6 +166,15 @@
         yield
 
 
+@contextlib.contextmanager
+def _no_throttle() -> Generator[None]:
+    def throttle(upstream: Upstream, attempt: str) -> None:
+        del upstream, attempt
+
+    with mock.patch.object(Upstream, 'throttle', throttle):
+        yield
+
+
 @contextlib.contextmanager
 def _keep_dead_rows() -> Generator[None]:
     async def remove(node: Node) -> None:
@@ -190,5 +199,6 @@
     'a stop follows a cancel': _no_stop,
     'a draining daemon follows the owners': _blind_drain,
     'peers are told apart by incarnation': _peers_by_name,
+    'over-users are throttled': _no_throttle,
     'journals of the dead are removed': _keep_dead_rows,
 }
--- a/features/harness/scripts.py
+++ b/features/harness/scripts.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -12,6 +13,7 @@
 
 from cyclamentrack.ids import WorkerId, WorkId
 from cyclamentrack.node import Node
+from cyclamentrack.ports import StartCommand
 from cyclamentrack.resources import Resources
 from cyclamentrack.work import Kind, Stage, Work, partition_of
 from cyclamentrack_standins.table import StoreFaults
@@ -328,6 +330,21 @@
     stand.finish()
 
 
+def over_user(stand: Stand) -> None:
+    """A task uses far more than it declared, and is held to its part."""
+    declared = Resources(milli_cores=1000, memory_mib=1024)
+    greedy = Resources(milli_cores=10_000, memory_mib=1024)
+    for worker in stand.world.cell.workers.values():
+        worker.use_by(partial(_use_always, greedy))
+    owner = _busiest(stand)
+    work = stand.work_of(owner, resources=declared, run_s=30.0)
+    stand.submit(work, owner)
+    stand.sleep(15)
+    worker = stand.world.cell.workers[stand.worker_of(work)]
+    assert worker.really_used == declared, worker.really_used
+    stand.finish()
+
+
 def dead_journal(stand: Stand) -> None:
     """The journal of a dead daemon is removed once no book needs it."""
     owner = _busiest(stand)
@@ -382,6 +399,7 @@
         twin_names,
         crowded_gang,
         dead_journal,
+        over_user,
         lookups_in_outage,
     )
 }
@@ -403,6 +421,11 @@
     )
 
 
+def _use_always(use: Resources, command: StartCommand) -> Resources:
+    del command
+    return use
+
+
 async def _start(stand: Stand, name: str) -> None:
     stand.world.cell.start_daemon(name)
 
--- a/features/promises/failures.feature
+++ b/features/promises/failures.feature
@@ -24,6 +24,7 @@
       | script       | guard                               |
       | twin names   | peers are told apart by incarnation |
       | dead journal | journals of the dead are removed    |
+      | over user    | over-users are throttled            |
 
   Scenario: A gang that finds no room neither spins nor starves
     When the script "crowded gang" runs
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/worker.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/worker.py
@@ -18,13 +18,15 @@
     StartCommand,
     Sync,
     SyncAnswer,
+    Usage,
     Watch,
 )
 from cyclamentrack.resources import NOTHING, Resources
 from cyclamentrack.work import Outcome
-from cyclamentrack_standins.recorder import Recorder
+from cyclamentrack_standins.recorder import Recorder, task_of
 
 _LINGER_S = 0.01
+_USAGE_LAG_S = 5.0
 _LOOKUP_S = 0.004
 
 
@@ -43,6 +45,8 @@
     outcome: Outcome = Outcome.SUCCEEDED
     answer: str = ''
     sequence: int = 0
+    started_at: float = 0
+    throttled: bool = False
 
 
 class StandinWorker:
@@ -55,9 +59,18 @@
         recorder: Recorder,
         nursery: trio.Nursery,
         real_run_s: Callable[[StartCommand], float] | None = None,
+        real_use: Callable[[StartCommand], Resources] | None = None,
+        usage_lag_s: float = _USAGE_LAG_S,
         lease_s: float = defaults.WORKER_LEASE_S,
     ) -> None:
-        """``real_run_s`` tells how long a task takes, if not as declared."""
+        """Behave as declared unless told otherwise.
+
+        ``real_run_s`` tells how long a task takes, in seconds, and
+        ``real_use`` what it uses. Use is reported ``usage_lag_s`` late.
+        """
+        self._real_use = real_use or _declared_use
+        self._usage_lag_s = usage_lag_s
+        self._saved_s: dict[str, float] = {}
         self.instance = instance
         self.mode = WorkerMode.HEALTHY
         self.leaving = False
@@ -80,6 +93,19 @@
             used = used.plus(held)
         return used
 
+    @property
+    def really_used(self) -> Resources:
+        """What running tasks use now, whatever they declared."""
+        used = NOTHING
+        for entry in self._attempts.values():
+            if entry.phase is AttemptPhase.RUNNING:
+                used = used.plus(self._use(entry))
+        return used
+
+    def use_by(self, real_use: Callable[[StartCommand], Resources]) -> None:
+        """Change what tasks really use."""
+        self._real_use = real_use
+
     def reboot(self) -> None:
         """Restart: everything that ran is gone and forgotten."""
         self._kill_all()
@@ -112,7 +138,14 @@
             self._forget(attempt)
         reports = [self._start(command) for command in sync.starts]
         reports.extend(self._stop(attempt) for attempt in sync.stops)
-        return self._answered([one for one in reports if one is not None])
+        for attempt in sync.throttles:
+            self._throttle(attempt)
+        for attempt in sync.checkpoints:
+            self._checkpoint(attempt)
+        return msgspec.structs.replace(
+            self._answered([one for one in reports if one is not None]),
+            usages=self._usages(),
+        )
 
     async def watch(self, watch: Watch) -> SyncAnswer:
         """Wait for ends after the cursor."""
@@ -209,6 +242,7 @@
             command=command,
             phase=AttemptPhase.RUNNING,
             scope=trio.CancelScope(),
+            started_at=trio.current_time(),
         )
         self._attempts[command.attempt] = entry
         self._recorder.started(self.instance.id, command.attempt)
@@ -221,7 +255,9 @@
                 await trio.sleep(_LOOKUP_S)
                 self._end(entry, Outcome.FAILED, 'exit status 1')
                 return
-            await trio.sleep(self._real_run_s(entry.command))
+            saved_s = self._saved_s.pop(task_of(entry.command.attempt), 0)
+            left_s = self._real_run_s(entry.command) - saved_s
+            await trio.sleep(max(left_s, 0))
             failed = entry.command.payload.startswith('fail')
             outcome = Outcome.FAILED if failed else Outcome.SUCCEEDED
             self._end(entry, outcome, f'done {entry.command.attempt}')
@@ -258,6 +294,33 @@
         self._ended.set()
         self._ended = trio.Event()
 
+    def _throttle(self, attempt: AttemptId) -> None:
+        known = self._attempts.get(attempt)
+        if known is not None:
+            known.throttled = True
+
+    def _checkpoint(self, attempt: AttemptId) -> None:
+        """Save how long an attempt has run, for the task's next one."""
+        known = self._attempts.get(attempt)
+        if known is not None and known.phase is AttemptPhase.RUNNING:
+            run_s = trio.current_time() - known.started_at
+            self._saved_s[task_of(attempt)] = run_s
+
+    def _usages(self) -> list[Usage]:
+        """Report the use of attempts that have run for the lag."""
+        horizon = trio.current_time() - self._usage_lag_s
+        return [
+            Usage(attempt=attempt, used=self._use(entry))
+            for attempt, entry in self._attempts.items()
+            if entry.phase is AttemptPhase.RUNNING
+            and entry.started_at <= horizon
+        ]
+
+    def _use(self, entry: _Attempt) -> Resources:
+        if entry.throttled:
+            return entry.command.resources
+        return self._real_use(entry.command)
+
     def _forget(self, attempt: AttemptId) -> None:
         known = self._attempts.get(attempt)
         if known is not None and known.phase is AttemptPhase.ENDED:
@@ -275,6 +338,10 @@
         return self.used.plus(need).fits(self.instance.capacity)
 
 
+def _declared_use(command: StartCommand) -> Resources:
+    return command.resources
+
+
 def _declared(command: StartCommand) -> float:
     return command.run_s
 
--- a/packages/cyclamentrack/cyclamentrack/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/ports.py
@@ -195,6 +195,8 @@
 
     ``number`` rises with every exchange of an epoch; the worker refuses one
     that isn't above the last, so a delayed exchange can't take effect late.
+    ``throttles`` are held to what they were given, and ``checkpoints`` save
+    their progress for the task's next attempt on the worker.
     ``token`` is the worker's own stamp of its last answer; the lease counts
     from it. ``stops`` also seal attempts that haven't started.
     """
@@ -207,6 +209,7 @@
     stops: list[AttemptId] = []
     forgets: list[AttemptId] = []
     throttles: list[AttemptId] = []
+    checkpoints: list[AttemptId] = []
 
 
 class SyncAnswer(msgspec.Struct, frozen=True, kw_only=True):
