Let a daemon drain that was replaced meanwhile

Change: the announcement of the drain takes a fence as what it is; there is nothing left to hand over.

--- a/features/harness/scripts.py
+++ b/features/harness/scripts.py
@@ -297,6 +297,19 @@
     stand.finish()
 
 
+def fenced_drain(stand: Stand) -> None:
+    """A daemon is paused, replaced, and asked to drain as it wakes."""
+    owner = _busiest(stand)
+    work = stand.work_of(owner, run_s=2.0)
+    stand.submit(work, owner)
+    stand.world.cell.freeze(owner)
+    stand.sleep(_TAKEOVER_S)
+    stand.world.loop.run(_thaw, stand, owner)
+    stand.world.loop.run(owner.drain)
+    stand.world.loop.run(_kill, stand, owner)
+    stand.finish()
+
+
 def twin_names(stand: Stand) -> None:
     """A second daemon of the same name starts while the first one lives."""
     stand.world.loop.run(_start, stand, 'b')
@@ -396,6 +409,7 @@
         cancel_wave,
         spread_gang,
         drained_daemon,
+        fenced_drain,
         twin_names,
         crowded_gang,
         dead_journal,
--- a/features/promises/failures.feature
+++ b/features/promises/failures.feature
@@ -26,6 +26,10 @@
       | dead journal | journals of the dead are removed    |
       | over user    | over-users are throttled            |
 
+  Scenario: A daemon that was replaced meanwhile can still drain
+    When the script "fenced drain" runs
+    Then every promise was kept
+
   Scenario: A gang that finds no room neither spins nor starves
     When the script "crowded gang" runs
     Then every promise was kept
--- a/packages/cyclamentrack/cyclamentrack/membership.py
+++ b/packages/cyclamentrack/cyclamentrack/membership.py
@@ -168,6 +168,8 @@
             await self._renew()
         except StoreUncertainError:
             _log.info('the state %s goes out with a later renewal', state.value)
+        except FencedError:
+            _log.info('fenced meanwhile: a successor has what was owned here')
 
     def set_revision(self, revision: Revision) -> None:
         """Announce the configuration in force with the next renewal."""
