--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -0,0 +1,342 @@
+"""The job book: what a slice's owner knows of its jobs, steps and tasks.
+
+The book decides nothing. It opens steps whose turn has come, takes in ends,
+and encodes the records that a successor reads.
+"""
+
+import enum
+from collections.abc import Iterator
+
+import msgspec
+
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.model import (
+    End,
+    Job,
+    JobId,
+    JobState,
+    Queue,
+    QueueName,
+    Step,
+    StepName,
+    TaskName,
+)
+
+_PERCENT = 100
+
+
+class Closed(msgspec.Struct, frozen=True, kw_only=True):
+    """What is kept of a job after its end; its id stays taken."""
+
+    state: JobState
+    queue: QueueName
+    closed_at_s: float
+
+
+class TaskRow(msgspec.Struct, frozen=True, array_like=True):
+    """The kept state of one task; ``worker`` is empty while none has it."""
+
+    index: int
+    run: int
+    done: bool
+    worker: str
+    life: int
+    failures: int
+    checkpoint: str
+
+
+class Phase(enum.Enum):
+    """What is known of a run's start."""
+
+    STARTING = 'starting'
+    RUNNING = 'running'
+
+
+class Placement(msgspec.Struct, kw_only=True, eq=False):
+    """One run of a task on a worker, from the decision to its listed end."""
+
+    task: TaskName
+    run: int
+    worker: WorkerId
+    life: int
+    phase: Phase
+    since: float
+    permit: str = ''
+    confirmed_at: float = 0.0
+    percent: float = 0.0
+    moved_at: float = 0.0
+    reading: float = 0.0
+    pace: int = _PERCENT
+    stopping: bool = False
+    stop_heard_at: float = 0.0
+
+
+class TaskRun(msgspec.Struct, kw_only=True, eq=False):
+    """One task: its runs so far and where it runs now."""
+
+    name: TaskName
+    run: int = 0
+    done: bool = False
+    failures: int = 0
+    checkpoint: str = ''
+    placement: Placement | None = None
+    failed_on: set[WorkerId] = msgspec.field(default_factory=set)
+
+    @property
+    def idle(self) -> bool:
+        """Whether the task waits to be placed."""
+        return not self.done and self.placement is None
+
+
+class StepRun(msgspec.Struct, kw_only=True, eq=False):
+    """One step of one occurrence whose turn has come."""
+
+    name: StepName
+    step: Step
+    tasks: list[TaskRun]
+    opened_at: float
+
+    @property
+    def done(self) -> bool:
+        """Whether all tasks have ended as done."""
+        return all(task.done for task in self.tasks)
+
+    @property
+    def idle(self) -> list[TaskRun]:
+        """Tasks that wait to be placed; of a gang all or none."""
+        waiting = [task for task in self.tasks if task.idle]
+        if self.step.gang and len(waiting) < len(self.tasks):
+            return []
+        return waiting
+
+    @property
+    def placed(self) -> list[Placement]:
+        """Runs of this step that some worker has."""
+        return [task.placement for task in self.tasks if task.placement]
+
+    def record(self) -> bytes:
+        """Return the kept form."""
+        return encode([
+            _task_row(task) for task in self.tasks if task.run or task.done
+        ])
+
+
+class JobRun(msgspec.Struct, kw_only=True, eq=False):
+    """One job that has not left the book."""
+
+    job: Job
+    queue: Queue
+    arrived_at: float
+    chain_s: float
+    cancelled: bool = False
+    state: JobState | None = None
+    steps: dict[tuple[int, int], StepRun] = msgspec.field(
+        default_factory=dict,
+    )
+    begun: bool = False
+    published: bool = False
+    opened: int = 0
+
+    @property
+    def due_by(self) -> float:
+        """Steady time by which the job should have ended."""
+        queue = self.queue
+        allowed = queue.target_s + queue.stretch * self.chain_s
+        return self.arrived_at + allowed
+
+    @property
+    def shown(self) -> JobState:
+        """The state that callers are told."""
+        if self.state is not None and self.published:
+            return self.state
+        return JobState.RUNNING if self.begun else JobState.QUEUED
+
+    @property
+    def placed(self) -> list[Placement]:
+        """Runs of this job that some worker has."""
+        return [run for step in self.steps.values() for run in step.placed]
+
+
+def longest_chain_s(job: Job, *, step_overhead_s: float = 0.0) -> float:
+    """Return the estimate of the longest chain of steps that wait in turn."""
+    ends: list[float] = []
+    for step in job.steps:
+        begin = max((ends[number] for number in step.after), default=0.0)
+        ends.append(begin + step.estimate_s + step_overhead_s)
+    return max(ends, default=0.0)
+
+
+class JobBook:
+    """All jobs of one slice."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.jobs: dict[JobId, JobRun] = {}
+        self.closed: dict[JobId, Closed] = {}
+        self.cancels: set[JobId] = set()
+        self.open_steps: dict[StepName, StepRun] = {}
+
+    def admit(self, *, job: Job, queue: Queue, now: float) -> JobRun | None:
+        """Add an accepted job; one that is known already is left alone."""
+        if job.id in self.jobs or job.id in self.closed:
+            return None
+        overhead = queue.permits.decide_s if queue.permits else 0.0
+        entry = JobRun(
+            job=job,
+            queue=queue,
+            arrived_at=now,
+            chain_s=longest_chain_s(job, step_overhead_s=overhead),
+        )
+        self.jobs[job.id] = entry
+        return entry
+
+    def open_due_steps(self, entry: JobRun, *, now: float, wall_s: float) -> None:
+        """Open the steps whose turn has come."""
+        if entry.state is not None:
+            return
+        self._open_occurrences(entry, now=now, wall_s=wall_s)
+        for occurrence in range(entry.opened):
+            self._open_steps(entry, occurrence, now)
+
+    def task(self, name: TaskName) -> TaskRun | None:
+        """Return a task of a step that was opened."""
+        entry = self.jobs.get(name.job)
+        step = entry.steps.get((name.occurrence, name.step)) if entry else None
+        if step is None or name.index >= len(step.tasks):
+            return None
+        return step.tasks[name.index]
+
+    def step_of(self, name: TaskName) -> StepRun | None:
+        """Return the opened step of a task."""
+        entry = self.jobs.get(name.job)
+        return entry.steps.get((name.occurrence, name.step)) if entry else None
+
+    def all_done(self, entry: JobRun) -> bool:
+        """Tell whether every task of every occurrence has ended as done."""
+        job = entry.job
+        wanted = job.occurrences * len(job.steps)
+        return len(entry.steps) == wanted and all(
+            step.done for step in entry.steps.values()
+        )
+
+    def close(self, entry: JobRun, *, state: JobState, wall_s: float) -> Closed:
+        """Give a job its final state; its runs are yet to be stopped.
+
+        Callers are told once the journal has kept it.
+        """
+        entry.state = state
+        for step in entry.steps.values():
+            self.open_steps.pop(step.name, None)
+        return Closed(
+            state=state, queue=entry.job.queue, closed_at_s=wall_s
+        )
+
+    def drop(self, entry: JobRun) -> None:
+        """Remove a job that has ended and of which nothing runs."""
+        self.jobs.pop(entry.job.id, None)
+
+    def state(self, job: JobId) -> JobState | None:
+        """Return what a caller is told of a job, ``None`` if unknown."""
+        if job in self.closed:
+            return self.closed[job].state
+        entry = self.jobs.get(job)
+        return entry.shown if entry else None
+
+    def waiting(self) -> dict[QueueName, int]:
+        """Count by queue the jobs of which no task has started."""
+        counts: dict[QueueName, int] = {}
+        for entry in self.jobs.values():
+            if entry.state is None and not entry.begun:
+                name = entry.job.queue
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+    def restore(self, entry: JobRun, key: str, body: bytes, now: float) -> None:
+        """Take in the kept record of one step."""
+        occurrence, step = (int(part) for part in key.split('.')[1:])
+        entry.opened = max(entry.opened, occurrence + 1)
+        run = self._open_step(entry, (occurrence, step), now)
+        for row in decode(body, list[TaskRow]):
+            _restore_task(run.tasks[row.index], row, now)
+            entry.begun = entry.begun or row.run > 0
+        if run.done:
+            self.open_steps.pop(run.name, None)
+
+    def _open_occurrences(
+        self, entry: JobRun, *, now: float, wall_s: float
+    ) -> None:
+        job = entry.job
+        while entry.opened < job.occurrences:
+            due = job.start_at_s + entry.opened * job.interval_s
+            if job.timed and wall_s < due:
+                return
+            entry.opened += 1
+
+    def _open_steps(self, entry: JobRun, occurrence: int, now: float) -> None:
+        for number, step in enumerate(entry.job.steps):
+            place = (occurrence, number)
+            if place in entry.steps:
+                continue
+            before = [entry.steps.get((occurrence, one)) for one in step.after]
+            if all(one is not None and one.done for one in before):
+                self._open_step(entry, place, now)
+
+    def _open_step(
+        self, entry: JobRun, place: tuple[int, int], now: float
+    ) -> StepRun:
+        occurrence, number = place
+        job = entry.job.id
+        step = entry.job.steps[number]
+        run = StepRun(
+            name=StepName(job, occurrence, number),
+            step=step,
+            opened_at=now,
+            tasks=[
+                TaskRun(name=TaskName(job, occurrence, number, index))
+                for index in range(step.count)
+            ],
+        )
+        entry.steps[place] = run
+        self.open_steps[run.name] = run
+        return run
+
+
+def gang_ends_whole(step: StepRun, end: End) -> bool:
+    """Tell whether one such end stands for all members of a gang."""
+    return step.step.gang and end is End.DONE
+
+
+def placements(book: JobBook) -> Iterator[Placement]:
+    """Return every run that some worker has."""
+    for entry in book.jobs.values():
+        yield from entry.placed
+
+
+def _task_row(task: TaskRun) -> TaskRow:
+    placement = task.placement
+    return TaskRow(
+        task.name.index,
+        task.run,
+        task.done,
+        placement.worker if placement else '',
+        placement.life if placement else 0,
+        task.failures,
+        task.checkpoint,
+    )
+
+
+def _restore_task(task: TaskRun, row: TaskRow, now: float) -> None:
+    task.run = row.run
+    task.done = row.done
+    task.failures = row.failures
+    task.checkpoint = row.checkpoint
+    if row.worker:
+        task.placement = Placement(
+            task=task.name,
+            run=row.run,
+            worker=WorkerId(row.worker),
+            life=row.life,
+            phase=Phase.STARTING,
+            since=now,
+        )
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -0,0 +1,383 @@
+"""One node of the job cell: membership, claims, and the slices it owns."""
+
+import hashlib
+import logging
+import secrets
+from collections.abc import Callable, Sequence
+
+import msgspec
+import trio
+
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.errors import PeerSilentError, StoreUncertainError
+from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.claims import (
+    RENEW_S,
+    LeaseBoard,
+    LeaseKeeper,
+    claim_slice,
+)
+from cyclamentrack.jobs.journal import Journal, OwnershipLostError
+from cyclamentrack.jobs.messages import AskPermits, PermitsAre
+from cyclamentrack.jobs.model import Configuration, StepName
+from cyclamentrack.jobs.owner import Collaborators, SliceOwner
+from cyclamentrack.jobs.permits import LaneCall
+from cyclamentrack.jobs.ports import (
+    Advisor,
+    Batch,
+    CellTables,
+    HistoryLostError,
+    OrderFencedError,
+    Permits,
+    RowKey,
+    RowStore,
+    StoredRow,
+    StoreRefusedError,
+    Translator,
+    Tuning,
+    WorkerOrders,
+)
+from cyclamentrack.jobs.records import (
+    MEMBERS,
+    Claim,
+    Lease,
+    Member,
+    member_key,
+)
+from cyclamentrack.ports import Peers
+
+_log = logging.getLogger(__name__)
+
+_CLAIM_BYTES = 6
+_LOOK_S = 0.25
+# Nodes claim in turn, so that one claim wins without a race.
+_TURN_S = 0.25
+# A node that owns a slice lets others go first.
+_OWNER_HANDICAP_S = 0.6
+# A node that lost a slice doesn't claim it again within the workers' notion
+# of two holders that take turns.
+_COOLDOWN_S = 3.2
+_FEED_WAIT_S = 20.0
+_RETRY_S = 0.2
+_HANDOVER_S = 1.5
+_PEER_SLACK_S = 0.2
+
+
+class CellParts(msgspec.Struct, frozen=True, kw_only=True):
+    """What a node works with."""
+
+    store: RowStore
+    orders: WorkerOrders
+    advisor: Advisor
+    translator: Translator
+    tables: CellTables
+    tuning: Tuning
+    peers: Peers
+    wall_clock: Callable[[], float]
+
+
+class JobCell:
+    """One node: follows the cell and owns slices in its turn."""
+
+    def __init__(self, *, me: Member, parts: CellParts) -> None:
+        """Do nothing before ``run``."""
+        self.me = me
+        self.parts = parts
+        self.configuration: Configuration | None = None
+        self.configured = trio.Event()
+        self.owners: dict[PoolName, SliceOwner] = {}
+        self.members: dict[str, Member] = {}
+        self.board = LeaseBoard(store=parts.store)
+        self.leaving = False
+        self._due_since: dict[PoolName, float] = {}
+        self._lost_at: dict[PoolName, float] = {}
+        self._keepers: dict[PoolName, LeaseKeeper] = {}
+
+    async def run(self) -> None:
+        """Follow the cell and own slices until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._join)
+            nursery.start_soon(self._follow_configuration)
+            nursery.start_soon(self._follow_members)
+            nursery.start_soon(self.board.follow)
+            nursery.start_soon(self._claim_due, nursery)
+
+    async def hand_over(self) -> None:
+        """Release all slices, so that others claim them at once."""
+        self.leaving = True
+        with trio.move_on_after(_HANDOVER_S):
+            for pool in list(self.owners):
+                await self._release(pool)
+            await self._leave()
+
+    def owner_address(self, pool: PoolName) -> str | None:
+        """Return where the owner of a slice is reached by peers."""
+        seen = self.board.seen.get(pool)
+        if seen is None or seen.lease.node == self.me.node:
+            return None
+        return seen.lease.address
+
+    def peer_addresses(self) -> list[str]:
+        """Return the addresses of all other members."""
+        return [
+            member.address
+            for name, member in sorted(self.members.items())
+            if name != self.me.node
+        ]
+
+    def lanes(self) -> dict[str, LaneCall]:
+        """Return the ways to the permit service; ``''`` is the own one."""
+        found: dict[str, LaneCall] = {'': self.advise}
+        owners = {seen.lease.node for seen in self.board.seen.values()}
+        for name, member in sorted(self.members.items()):
+            if name != self.me.node and name not in owners:
+                found[member.address] = self._peer_lane(member.address)
+        return found
+
+    async def advise(
+        self, step: StepName, workers: Sequence[WorkerId], timeout_s: float
+    ) -> Permits | None:
+        """Call the permit service from this node."""
+        return await self.parts.advisor.advise(
+            step=step, workers=workers, timeout_s=timeout_s
+        )
+
+    def _peer_lane(self, address: str) -> LaneCall:
+        async def call(
+            step: StepName, workers: Sequence[WorkerId], timeout_s: float
+        ) -> Permits | None:
+            message = AskPermits(
+                step=step, workers=list(workers), timeout_s=timeout_s
+            )
+            try:
+                reply = await self.parts.peers.call(
+                    address=address,
+                    message=message,
+                    timeout_s=timeout_s + _PEER_SLACK_S,
+                )
+            except PeerSilentError:
+                return await self.advise(step, workers, timeout_s)
+            match reply:
+                case PermitsAre(answered=True):
+                    return Permits(
+                        granted=reply.granted, valid_s=reply.valid_s
+                    )
+                case _:
+                    return None
+
+        return call
+
+    async def _join(self) -> None:
+        key = member_key(self.me.node)
+        while True:
+            try:
+                await self.parts.store.commit(
+                    Batch(puts=((key, encode(self.me)),)),
+                )
+            except (StoreUncertainError, StoreRefusedError):
+                await trio.sleep(_RETRY_S)
+            else:
+                return
+
+    async def _leave(self) -> None:
+        key = member_key(self.me.node)
+        try:
+            await self.parts.store.commit(Batch(removes=(key,)))
+        except (StoreUncertainError, StoreRefusedError) as error:
+            _log.warning('leaving without a word: %s', error)
+
+    async def _follow_configuration(self) -> None:
+        tables = self.parts.tables
+        key = RowKey(tables.configuration, '', tables.configuration_key)
+        await self._follow(
+            tables.configuration,
+            lambda rows: [
+                self._take_configuration(row) for row in rows if row.key == key
+            ],
+        )
+
+    def _take_configuration(self, row: StoredRow) -> None:
+        found = self.parts.translator.configuration(row.body)
+        if found is None:
+            return
+        current = self.configuration
+        if current is not None and found.version <= current.version:
+            return
+        self.configuration = found
+        self.configured.set()
+        _log.info(
+            'configuration in force version=%d queues=%d',
+            found.version,
+            len(found.queues),
+        )
+
+    async def _follow_members(self) -> None:
+        await self._follow(
+            MEMBERS,
+            lambda rows: [self._take_member(row) for row in rows],
+            lambda keys: [self.members.pop(key.key, None) for key in keys],
+        )
+
+    def _take_member(self, row: StoredRow) -> None:
+        self.members[row.key.key] = decode(row.body, Member)
+
+    async def _follow(
+        self,
+        table: str,
+        take: Callable[[Sequence[StoredRow]], object],
+        drop: Callable[[Sequence[RowKey]], object] | None = None,
+    ) -> None:
+        """Read a table of one part, then follow its changes."""
+        version: int | None = None
+        while True:
+            try:
+                if version is None:
+                    page = await self.parts.store.scan(table=table, part='')
+                    take(page.rows)
+                    version = page.version
+                changes = await self.parts.store.follow(
+                    table=table, after=version, wait_s=_FEED_WAIT_S
+                )
+            except (StoreUncertainError, StoreRefusedError):
+                await trio.sleep(_RETRY_S)
+                continue
+            except HistoryLostError:
+                version = None
+                continue
+            version = changes.version
+            take(changes.rows)
+            if drop is not None:
+                drop(changes.removed)
+
+    async def _claim_due(self, nursery: trio.Nursery) -> None:
+        await self.configured.wait()
+        await self.board.loaded.wait()
+        while True:
+            if not self.leaving and self.configuration is not None:
+                for pool in self.configuration.pools:
+                    await self._consider(pool, nursery)
+            changed = self.board.changed
+            with trio.move_on_after(_LOOK_S):
+                await changed.wait()
+
+    async def _consider(self, pool: PoolName, nursery: trio.Nursery) -> None:
+        now = trio.current_time()
+        if pool in self.owners or not self.board.due(
+            pool, node=self.me.node, now=now
+        ):
+            self._due_since.pop(pool, None)
+            return
+        if now - self._lost_at.get(pool, -_COOLDOWN_S) < _COOLDOWN_S:
+            return
+        since = self._due_since.setdefault(pool, now)
+        if now - since < self._turn_s(pool):
+            return
+        self._due_since.pop(pool, None)
+        await self._claim(pool, nursery)
+
+    def _turn_s(self, pool: PoolName) -> float:
+        """Return how long this node lets others claim first, seconds."""
+        former = self.board.seen.get(pool)
+        if former is not None and former.lease.node == self.me.node:
+            return 0.0
+        names = sorted({*self.members, self.me.node}, key=_rank_in(pool))
+        handicap = _OWNER_HANDICAP_S if self.owners else 0.0
+        return names.index(self.me.node) * _TURN_S + handicap
+
+    async def _claim(self, pool: PoolName, nursery: trio.Nursery) -> None:
+        lease = Lease(
+            node=self.me.node,
+            claim=f'{self.me.node}/{secrets.token_hex(_CLAIM_BYTES)}',
+            address=self.me.address,
+            number=0,
+        )
+        try:
+            claim = await claim_slice(
+                store=self.parts.store,
+                board=self.board,
+                pool=pool,
+                lease=lease,
+            )
+        except (StoreUncertainError, StoreRefusedError) as error:
+            _log.warning('claim of pool=%s failed: %s', pool, error)
+            return
+        if claim is not None:
+            self._begin(claim, lease, nursery)
+
+    def _begin(
+        self, claim: Claim, lease: Lease, nursery: trio.Nursery
+    ) -> None:
+        parts = self.parts
+        journal = Journal(
+            store=parts.store,
+            part=claim.pool,
+            owner=claim.id,
+            version=claim.token,
+        )
+        owner = SliceOwner(
+            claim=claim,
+            journal=journal,
+            parts=Collaborators(
+                store=parts.store,
+                orders=parts.orders,
+                translator=parts.translator,
+                tables=parts.tables,
+                tuning=parts.tuning,
+                configuration=lambda: self.configuration,
+                lanes=self.lanes,
+                wall_clock=parts.wall_clock,
+            ),
+        )
+        keeper = LeaseKeeper(store=parts.store, claim=claim, lease=lease)
+        self.owners[claim.pool] = owner
+        self._keepers[claim.pool] = keeper
+        nursery.start_soon(self._own, owner, keeper)
+
+    async def _own(self, owner: SliceOwner, keeper: LeaseKeeper) -> None:
+        pool = owner.claim.pool
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(owner.run)
+                nursery.start_soon(self._renew, owner, keeper)
+        except* (OwnershipLostError, OrderFencedError) as lost:
+            _log.warning(
+                'slice lost pool=%s token=%d why=%s',
+                pool,
+                owner.claim.token,
+                lost.exceptions[0],
+            )
+        finally:
+            self._lost_at[pool] = trio.current_time()
+            if self.owners.get(pool) is owner:
+                self.owners.pop(pool)
+                self._keepers.pop(pool)
+
+    async def _renew(self, owner: SliceOwner, keeper: LeaseKeeper) -> None:
+        while True:
+            try:
+                await keeper.renew(waiting=owner.book.waiting())
+            except (StoreUncertainError, StoreRefusedError) as error:
+                _log.warning(
+                    'lease not renewed pool=%s: %s', owner.claim.pool, error
+                )
+            await trio.sleep(RENEW_S)
+
+    async def _release(self, pool: PoolName) -> None:
+        owner = self.owners[pool]
+        owner.pause()
+        await owner.journal.flushed()
+        try:
+            await self._keepers[pool].renew(
+                waiting=owner.book.waiting(), released=True
+            )
+        except (StoreUncertainError, StoreRefusedError, OwnershipLostError):
+            _log.warning('slice not released pool=%s', pool)
+        else:
+            _log.info('slice released pool=%s', pool)
+
+
+def _rank_in(pool: PoolName) -> Callable[[str], bytes]:
+    """Return a node's place in the order of claims for a pool."""
+    return lambda node: hashlib.blake2b(
+        f'{pool}/{node}'.encode(), digest_size=8
+    ).digest()
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -0,0 +1,216 @@
+"""Claiming slices: who owns which pool, found out through the store alone.
+
+Safety never rests on the lease. A claim replaces the slice's head row, which
+fences the former owner's commits, and its version is the fencing token that
+workers check. The lease only tells when a claim is due.
+"""
+
+import logging
+
+import msgspec
+import trio
+
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.errors import StoreUncertainError
+from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.journal import Head, OwnershipLostError, head_key
+from cyclamentrack.jobs.model import QueueName, Token
+from cyclamentrack.jobs.ports import (
+    Batch,
+    Committed,
+    Expect,
+    HistoryLostError,
+    RowStore,
+    StoredRow,
+    StoreRefusedError,
+)
+from cyclamentrack.jobs.records import CLAIMS, Claim, Lease, lease_key
+
+_log = logging.getLogger(__name__)
+
+RENEW_S = 0.6
+# Three renewals missed; a successor is at work well before workers' leases,
+# which last 6 s or more, have ended.
+LAPSE_S = 2.0
+_FOLLOW_WAIT_S = 5.0
+# Renewals of all slices that come within this time share one answer.
+_FOLLOW_GAP_S = 0.35
+_RETRY_S = 0.2
+
+
+class SeenLease(msgspec.Struct, kw_only=True, eq=False):
+    """A lease as last seen, and since when it has not changed."""
+
+    lease: Lease
+    version: int
+    changed_at: float
+
+
+class LeaseBoard:
+    """All slices' leases, followed in the store."""
+
+    def __init__(self, *, store: RowStore) -> None:
+        """Know nothing yet."""
+        self.seen: dict[PoolName, SeenLease] = {}
+        self.loaded = trio.Event()
+        self.changed = trio.Event()
+        self._store = store
+        self._blind_since: float | None = None
+
+    def due(self, pool: PoolName, *, node: str, now: float) -> bool:
+        """Tell whether a slice should be claimed.
+
+        An unchanged lease counts only while the store was watched all along.
+        A lease of this node's own earlier life has no owner for certain.
+        """
+        if not self.loaded.is_set() or self._blind_since is not None:
+            return False
+        seen = self.seen.get(pool)
+        if seen is None or seen.lease.released or seen.lease.node == node:
+            return True
+        return now - seen.changed_at > LAPSE_S
+
+    async def follow(self) -> None:
+        """Follow the leases until cancelled."""
+        version: int | None = None
+        while True:
+            try:
+                if version is None:
+                    page = await self._store.scan(table=CLAIMS, part='')
+                    version = page.version
+                    await self._load()
+                changes = await self._store.follow(
+                    table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
+                )
+            except (StoreUncertainError, StoreRefusedError) as error:
+                self._go_blind(error)
+                await trio.sleep(_RETRY_S)
+                continue
+            except HistoryLostError:
+                version = None
+                continue
+            version = changes.version
+            self._take(changes.rows)
+            await trio.sleep(_FOLLOW_GAP_S)
+
+    async def _load(self) -> None:
+        parts = await self._store.parts(table=CLAIMS)
+        for part in parts:
+            page = await self._store.scan(table=CLAIMS, part=part)
+            self._take(page.rows)
+        self.loaded.set()
+
+    def _go_blind(self, error: Exception) -> None:
+        if self._blind_since is None:
+            self._blind_since = trio.current_time()
+            _log.warning('leases can not be watched: %s', error)
+
+    def _take(self, rows: tuple[StoredRow, ...]) -> None:
+        now = trio.current_time()
+        if self._blind_since is not None:
+            _log.info(
+                'leases are watched again after_s=%.1f',
+                now - self._blind_since,
+            )
+            self._blind_since = None
+            for seen in self.seen.values():
+                seen.changed_at = now
+        for row in rows:
+            pool = PoolName(row.key.part)
+            known = self.seen.get(pool)
+            if known is not None and known.version >= row.version:
+                continue
+            self.seen[pool] = SeenLease(
+                lease=decode(row.body, Lease),
+                version=row.version,
+                changed_at=now,
+            )
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+async def claim_slice(
+    *,
+    store: RowStore,
+    board: LeaseBoard,
+    pool: PoolName,
+    lease: Lease,
+) -> Claim | None:
+    """Claim a slice, or return ``None`` when another was faster.
+
+    Raises ``StoreRefusedError`` or ``StoreUncertainError``.
+    """
+    began = trio.current_time()
+    head = await store.read(head_key(pool))
+    seen = board.seen.get(pool)
+    batch = Batch(
+        expected=(
+            Expect(head_key(pool), head.version if head else 0),
+            Expect(lease_key(pool), seen.version if seen else 0),
+        ),
+        puts=(
+            (head_key(pool), encode(Head(owner=lease.claim, number=0))),
+            (lease_key(pool), encode(lease)),
+        ),
+    )
+    answer = await store.commit(batch)
+    if not isinstance(answer, Committed):
+        return None
+    _log.info(
+        'slice claimed pool=%s token=%d former=%s after_ms=%d',
+        pool,
+        answer.version,
+        seen.lease.node if seen else 'none',
+        int((trio.current_time() - began) * 1000),
+    )
+    return Claim(
+        pool=pool,
+        id=lease.claim,
+        token=Token(answer.version),
+        claimed_at=trio.current_time(),
+    )
+
+
+class LeaseKeeper:
+    """Renews one slice's lease while its owner runs."""
+
+    def __init__(
+        self, *, store: RowStore, claim: Claim, lease: Lease
+    ) -> None:
+        """Renew from the version that the claim wrote."""
+        self.confirmed_at = claim.claimed_at
+        self._store = store
+        self._claim = claim
+        self._lease = lease
+        self._version: int = claim.token
+
+    async def renew(
+        self, *, waiting: dict[QueueName, int], released: bool = False
+    ) -> None:
+        """Renew once.
+
+        Raises ``OwnershipLostError`` when another claim stands there.
+        """
+        sent_at = trio.current_time()
+        lease = msgspec.structs.replace(
+            self._lease,
+            number=self._lease.number + 1,
+            waiting=waiting,
+            released=released,
+        )
+        self._lease = lease
+        key = lease_key(self._claim.pool)
+        batch = Batch(
+            expected=(Expect(key, self._version),),
+            puts=((key, encode(lease)),),
+        )
+        answer = await self._store.commit(batch)
+        match answer:
+            case Committed(version=version):
+                self._version = version
+            case _:
+                row = answer.find(key)
+                if row is None or decode(row.body, Lease).claim != lease.claim:
+                    raise OwnershipLostError(part=self._claim.pool)
+                self._version = row.version
+        self.confirmed_at = sent_at
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -0,0 +1,268 @@
+"""Which task goes to which worker next.
+
+Order answers the load in which more is ready than fits: urgent queues first,
+within a queue the job that is due first. Choice of worker answers mixed
+sizes: the worker whose rest stays most balanced, near the data, away from
+workers on which the task failed.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
+from cyclamentrack.jobs.fleet import Fleet, Worker, charge
+from cyclamentrack.jobs.permits import PermitBook
+from cyclamentrack.resources import Resources
+
+# A worker that hasn't answered for so long gets nothing new.
+_SILENCE_S = 2.6
+
+
+class Assignment(msgspec.Struct, frozen=True, kw_only=True):
+    """One task and the worker that it was given to."""
+
+    step: StepRun
+    task: TaskRun
+    worker: Worker
+    permit: str
+
+
+class PermitWish(msgspec.Struct, frozen=True, kw_only=True):
+    """A step that can't be placed without permits on some of these."""
+
+    entry: JobRun
+    step: StepRun
+    workers: list[Worker]
+
+
+class Round(msgspec.Struct, kw_only=True):
+    """What one round decided."""
+
+    assignments: list[Assignment] = msgspec.field(default_factory=list)
+    wishes: list[PermitWish] = msgspec.field(default_factory=list)
+
+
+class Dispatcher:
+    """Decides rounds of placements for one slice."""
+
+    def __init__(
+        self, *, book: JobBook, fleet: Fleet, permits: PermitBook
+    ) -> None:
+        """Decide over the book's open steps and the fleet's rooms."""
+        self._book = book
+        self._fleet = fleet
+        self._permits = permits
+
+    def decide(self, now: float) -> Round:
+        """Give ready tasks to workers, and charge these for them."""
+        outcome = Round()
+        usable = [
+            worker
+            for worker in self._fleet.workers.values()
+            if worker.usable(now=now, silence_s=_SILENCE_S)
+        ]
+        for entry, step in self._in_order():
+            self._place_step(entry, step, usable, now, outcome)
+        return outcome
+
+    def _in_order(self) -> list[tuple[JobRun, StepRun]]:
+        ready = [
+            (self._book.jobs[step.name.job], step)
+            for step in self._book.open_steps.values()
+            if step.idle
+        ]
+        ready.sort(key=lambda pair: (pair[0].queue.priority, pair[0].due_by))
+        return ready
+
+    def _place_step(
+        self,
+        entry: JobRun,
+        step: StepRun,
+        usable: list[Worker],
+        now: float,
+        outcome: Round,
+    ) -> None:
+        need = charge(step.step)
+        eligible = [
+            worker
+            for worker in usable
+            if _suits(step, worker) and need.fits(worker.free)
+        ]
+        if not eligible:
+            return
+        permit_of = self._permit_lookup(entry, step, now)
+        allowed = [worker for worker in eligible if permit_of(worker) is not None]
+        tasks = step.idle
+        if step.step.gang:
+            chosen = _place_gang(step, allowed)
+        else:
+            chosen = _place_each(step, tasks, allowed)
+        for task, worker in chosen:
+            worker.take(task=task.name, run=task.run + 1, step=step.step)
+            outcome.assignments.append(
+                Assignment(
+                    step=step,
+                    task=task,
+                    worker=worker,
+                    permit=permit_of(worker) or '',
+                ),
+            )
+        if len(chosen) < len(tasks):
+            self._wish(entry, step, eligible, outcome)
+
+    def _permit_lookup(
+        self, entry: JobRun, step: StepRun, now: float
+    ) -> Callable[[Worker], str | None]:
+        if entry.queue.permits is None:
+            return lambda worker: ''
+        known = self._permits.of(step.name)
+
+        def lookup(worker: Worker) -> str | None:
+            permit = known.fresh(worker.entry.id, now=now, life=worker.life)
+            return permit or None
+
+        return lookup
+
+    def _wish(
+        self,
+        entry: JobRun,
+        step: StepRun,
+        eligible: list[Worker],
+        outcome: Round,
+    ) -> None:
+        if entry.queue.permits is None:
+            return
+        known = self._permits.of(step.name)
+        wanted = [
+            worker for worker in eligible if worker.entry.id not in known.bad
+        ]
+        if wanted:
+            outcome.wishes.append(
+                PermitWish(entry=entry, step=step, workers=wanted),
+            )
+
+
+def _suits(step: StepRun, worker: Worker) -> bool:
+    spec = step.step
+    if spec.requires and spec.requires not in worker.entry.labels:
+        return False
+    holdings = worker.holdings.values()
+    if spec.fills:
+        return not any(holding.serving for holding in holdings)
+    return True
+
+
+def _place_each(
+    step: StepRun, tasks: list[TaskRun], allowed: list[Worker]
+) -> list[tuple[TaskRun, Worker]]:
+    rooms = _Rooms(step=step, workers=allowed)
+    chosen: list[tuple[TaskRun, Worker]] = []
+    for task in tasks:
+        worker = rooms.best(allowed, avoid=task.failed_on)
+        if worker is None:
+            break
+        rooms.take(worker)
+        chosen.append((task, worker))
+    return chosen
+
+
+def _place_gang(
+    step: StepRun, allowed: list[Worker]
+) -> list[tuple[TaskRun, Worker]]:
+    """Place all members or none, in one rack if they are sensitive to it."""
+    groups: list[list[Worker]] = [allowed]
+    if step.step.rack_sensitive:
+        groups = [*_by_rack(allowed), allowed]
+    for group in groups:
+        rooms = _Rooms(step=step, workers=group)
+        chosen: list[tuple[TaskRun, Worker]] = []
+        for task in step.tasks:
+            worker = rooms.best(group, avoid=task.failed_on)
+            if worker is None:
+                break
+            rooms.take(worker)
+            chosen.append((task, worker))
+        if len(chosen) == len(step.tasks):
+            return chosen
+    return []
+
+
+def _by_rack(workers: Iterable[Worker]) -> list[list[Worker]]:
+    racks: dict[str, list[Worker]] = {}
+    for worker in workers:
+        racks.setdefault(worker.entry.rack, []).append(worker)
+    return sorted(racks.values(), key=len)
+
+
+class _Rooms:
+    """Rooms of some workers while one step is laid out over them."""
+
+    def __init__(self, *, step: StepRun, workers: list[Worker]) -> None:
+        self._step = step.step
+        self._need = charge(step.step)
+        self._free = {worker.entry.id: worker.free for worker in workers}
+        self._count: dict[WorkerId, int] = {}
+        for placement in step.placed:
+            self._add(placement.worker)
+
+    def best(
+        self, workers: list[Worker], *, avoid: set[WorkerId]
+    ) -> Worker | None:
+        """Return the worker that should take the next task, if any can."""
+        fitting = [worker for worker in workers if self._fits(worker)]
+        if not fitting:
+            return None
+        return min(fitting, key=lambda worker: self._cost(worker, avoid))
+
+    def take(self, worker: Worker) -> None:
+        """Charge one task."""
+        left = self._free[worker.entry.id]
+        self._free[worker.entry.id] = Resources(
+            milli_cores=left.milli_cores - self._need.milli_cores,
+            memory_mib=left.memory_mib - self._need.memory_mib,
+            accelerators=left.accelerators - self._need.accelerators,
+        )
+        self._add(worker.entry.id)
+
+    def _add(self, worker: WorkerId) -> None:
+        self._count[worker] = self._count.get(worker, 0) + 1
+
+    def _fits(self, worker: Worker) -> bool:
+        limit = self._step.max_per_worker
+        if limit and self._count.get(worker.entry.id, 0) >= limit:
+            return False
+        return self._need.fits(self._free[worker.entry.id])
+
+    def _cost(
+        self, worker: Worker, avoid: set[WorkerId]
+    ) -> tuple[bool, bool, bool, float]:
+        step = self._step
+        far = bool(step.data_rack) and step.data_rack != worker.entry.rack
+        disturbed = step.serving_target_ms > 0 and any(
+            holding.fills for holding in worker.holdings.values()
+        )
+        return (
+            worker.entry.id in avoid,
+            far,
+            disturbed,
+            self._rest(worker) * worker.slowness,
+        )
+
+    def _rest(self, worker: Worker) -> float:
+        """Return how uneven and large the worker's rest would be."""
+        whole = worker.entry.capacity
+        free = self._free[worker.entry.id]
+        shares = [
+            (free.milli_cores - self._need.milli_cores)
+            / max(whole.milli_cores, 1),
+            (free.memory_mib - self._need.memory_mib)
+            / max(whole.memory_mib, 1),
+        ]
+        if whole.accelerators:
+            shares.append(
+                (free.accelerators - self._need.accelerators)
+                / whole.accelerators,
+            )
+        return 1.0 + max(shares) - min(shares)
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -0,0 +1,175 @@
+"""The workers of a slice: room, leases, and what their ends say of them."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.model import Step, TaskName, WorkerEntry, WorkerState
+from cyclamentrack.resources import NOTHING, Resources
+
+_MS_PER_S = 1000
+# A worker's steady clock may be this much slow, so its leases last longer.
+_CLOCK_SLACK = 1.03
+_LEASE_MARGIN_S = 0.3
+# So many runs that fail in a row, none done between, make a worker suspect.
+_SUSPECT_FAILURES = 3
+_PROBATION_S = 4.0
+
+
+class Holding(msgspec.Struct, frozen=True, kw_only=True):
+    """What one run takes of a worker until its end is listed."""
+
+    need: Resources
+    fills: bool
+    serving: bool
+    image: str
+
+
+class Worker(msgspec.Struct, kw_only=True, eq=False):
+    """One worker: its entry, its runs and its lease."""
+
+    entry: WorkerEntry
+    listed: bool = True
+    greeted: bool = False
+    life: int = 0
+    slowness: float = 1.0
+    holdings: dict[tuple[TaskName, int], Holding] = msgspec.field(
+        default_factory=dict,
+    )
+    used: Resources = NOTHING
+    acknowledged: int = 0
+    clock_ms: int | None = None
+    clock_at: float = 0.0
+    ordered_at: float = 0.0
+    heard_at: float = 0.0
+    failures: int = 0
+    suspect_until: float = 0.0
+    retired: bool = False
+    strays: int = 0
+
+    @property
+    def free(self) -> Resources:
+        """What no run has been given."""
+        whole = self.entry.capacity
+        return Resources(
+            milli_cores=max(whole.milli_cores - self.used.milli_cores, 0),
+            memory_mib=max(whole.memory_mib - self.used.memory_mib, 0),
+            accelerators=max(whole.accelerators - self.used.accelerators, 0),
+        )
+
+    def usable(self, *, now: float, silence_s: float) -> bool:
+        """Tell whether new runs may be given to the worker."""
+        return (
+            self.listed
+            and self.greeted
+            and self.life == self.entry.life
+            and not self.retired
+            and not self.strays
+            and self.entry.state is WorkerState.READY
+            and now >= self.suspect_until
+            and now - self.heard_at < silence_s
+        )
+
+    def take(self, *, task: TaskName, run: int, step: Step) -> None:
+        """Charge a run."""
+        need = charge(step)
+        self.holdings[task, run] = Holding(
+            need=need,
+            fills=step.fills,
+            serving=step.serving_target_ms > 0,
+            image=step.image,
+        )
+        self.used = self.used.plus(need)
+
+    def release(self, *, task: TaskName, run: int) -> None:
+        """Take a run's charge back."""
+        if self.holdings.pop((task, run), None) is None:
+            return
+        used = NOTHING
+        for holding in self.holdings.values():
+            used = used.plus(holding.need)
+        self.used = used
+
+    def release_all(self) -> None:
+        """Take all charges back: nothing runs there any more."""
+        self.holdings.clear()
+        self.used = NOTHING
+
+    def hear(self, *, clock_ms: int, now: float) -> None:
+        """Note the worker's clock from an answer."""
+        self.clock_ms = clock_ms
+        self.clock_at = now
+        self.heard_at = now
+
+    def lease_until_ms(self, *, now: float, lease_s: float) -> int | None:
+        """Return the end of a lease from now, on the worker's clock."""
+        if self.clock_ms is None:
+            return None
+        passed = now - self.clock_at + lease_s
+        return self.clock_ms + int(passed * _MS_PER_S)
+
+    def lapsed(self, *, now: float, lease_s: float) -> bool:
+        """Tell whether every lease that was given has ended for certain."""
+        return now > self.ordered_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
+
+    def note_failure(self, now: float) -> None:
+        """Count a run that failed; too many in a row put it on probation."""
+        self.failures += 1
+        if self.failures >= _SUSPECT_FAILURES:
+            self.suspect_until = now + _PROBATION_S
+            self.failures = _SUSPECT_FAILURES - 1
+
+    def note_success(self) -> None:
+        """Clear the record of failures."""
+        self.failures = 0
+
+
+def charge(step: Step) -> Resources:
+    """Return what a task of the step takes of a worker's capacity."""
+    if not step.fills:
+        return step.need
+    return Resources(
+        milli_cores=0,
+        memory_mib=step.need.memory_mib,
+        accelerators=step.need.accelerators,
+    )
+
+
+def could_hold(step: Step, workers: Iterable[WorkerEntry]) -> bool:
+    """Tell whether some worker, were it empty, could hold one task."""
+    need = charge(step)
+    return any(
+        need.fits(entry.capacity)
+        and (not step.requires or step.requires in entry.labels)
+        for entry in workers
+    )
+
+
+class Fleet:
+    """The workers of one pool."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.workers: dict[WorkerId, Worker] = {}
+
+    def see(self, entry: WorkerEntry) -> Worker:
+        """Take in a worker's entry; a known one keeps its runs."""
+        worker = self.workers.get(entry.id)
+        if worker is None or worker.retired:
+            worker = Worker(entry=entry)
+            self.workers[entry.id] = worker
+        worker.entry = entry
+        worker.listed = True
+        return worker
+
+    def lose(self, worker: WorkerId) -> None:
+        """Note that a worker's entry is gone; its runs may go on."""
+        if worker in self.workers:
+            self.workers[worker].listed = False
+
+    def entries(self) -> list[WorkerEntry]:
+        """Return the entries of the workers that are listed."""
+        return [
+            worker.entry for worker in self.workers.values() if worker.listed
+        ]
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/journal.py
@@ -0,0 +1,185 @@
+"""The slice's journal: group commits that a later owner can fence.
+
+Every commit names the version of the slice's head row and replaces that row,
+so commits form a chain: a copy that the store carries out late, or one of an
+owner that was replaced, finds another version there and does nothing.
+"""
+
+import logging
+
+import msgspec
+import trio
+
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.errors import CyclamentrackError, StoreUncertainError
+from cyclamentrack.jobs.ports import (
+    Batch,
+    Committed,
+    Conflict,
+    Expect,
+    RowKey,
+    RowStore,
+    StoredRow,
+    StoreRefusedError,
+)
+
+_log = logging.getLogger(__name__)
+
+# The store takes 100 entries a call; the head row is one as a condition and
+# one as a write.
+_BATCH_ENTRIES = 98
+# Below the store's limit of 1 MB a call, with room for names and base64.
+_BATCH_BYTES = 500_000
+# Commits of one slice are spaced so, which bounds what it asks of the store.
+_WINDOW_S = 0.004
+_RETRY_MIN_S = 0.05
+_RETRY_MAX_S = 0.4
+
+HEAD = 'head'
+TABLE = 'journal'
+
+
+class OwnershipLostError(CyclamentrackError):
+    """Another owner has claimed the slice."""
+
+    def __init__(self, *, part: str) -> None:
+        """Name the slice."""
+        super().__init__(
+            message=f'slice {part} has a newer owner',
+            remedy='stop all work on it; its owner has the book',
+        )
+
+
+class Head(msgspec.Struct, frozen=True, kw_only=True):
+    """Who wrote the last commit of a slice, and its number."""
+
+    owner: str
+    number: int
+
+
+def head_key(part: str) -> RowKey:
+    """Return where the head row of a slice lies."""
+    return RowKey(TABLE, part, HEAD)
+
+
+class Journal:
+    """Writes of one owner, in order, one commit at a time."""
+
+    def __init__(
+        self, *, store: RowStore, part: str, owner: str, version: int
+    ) -> None:
+        """Continue from the head row's version at the claim."""
+        self.behind_since: float | None = None
+        self._store = store
+        self._part = part
+        self._owner = owner
+        self._version = version
+        self._number = 0
+        self._pending: dict[RowKey, tuple[int, bytes | None]] = {}
+        self._last = 0
+        self._waiting: list[tuple[int, trio.Event]] = []
+        self._wake = trio.Event()
+
+    @property
+    def behind_s(self) -> float:
+        """How long the commit under way has waited, seconds."""
+        if self.behind_since is None:
+            return 0.0
+        return trio.current_time() - self.behind_since
+
+    def put(self, key: RowKey, body: bytes | None) -> None:
+        """Queue a write; ``None`` removes the row."""
+        self._last += 1
+        self._pending.pop(key, None)
+        self._pending[key] = (self._last, body)
+        self._wake.set()
+
+    async def flushed(self) -> None:
+        """Wait until all that was put before this call is kept."""
+        if not self._pending and self.behind_since is None:
+            return
+        event = trio.Event()
+        self._waiting.append((self._last, event))
+        await event.wait()
+
+    async def run(self) -> None:
+        """Commit what is put, until the slice is lost or cancelled."""
+        while True:
+            await self._wake.wait()
+            await trio.sleep(_WINDOW_S)
+            self._wake = trio.Event()
+            while self._pending:
+                await self._commit_some()
+
+    async def _commit_some(self) -> None:
+        writes = self._take()
+        self.behind_since = trio.current_time()
+        self._number += 1
+        head = Head(owner=self._owner, number=self._number)
+        key = head_key(self._part)
+        batch = Batch(
+            expected=(Expect(key, self._version),),
+            puts=(
+                (key, encode(head)),
+                *((row, body) for row, body in writes if body is not None),
+            ),
+            removes=tuple(row for row, body in writes if body is None),
+        )
+        self._version = await self._commit(batch, head)
+        self.behind_since = None
+        self._release()
+
+    def _take(self) -> list[tuple[RowKey, bytes | None]]:
+        taken: list[tuple[RowKey, bytes | None]] = []
+        size = 0
+        for key, (_, body) in list(self._pending.items()):
+            size += len(body or b'')
+            if taken and size > _BATCH_BYTES:
+                break
+            taken.append((key, body))
+            if len(taken) >= _BATCH_ENTRIES:
+                break
+        for key, _ in taken:
+            self._pending.pop(key)
+        return taken
+
+    def _release(self) -> None:
+        kept = min(
+            (number for number, _ in self._pending.values()),
+            default=self._last + 1,
+        )
+        still: list[tuple[int, trio.Event]] = []
+        for number, event in self._waiting:
+            if number < kept:
+                event.set()
+            else:
+                still.append((number, event))
+        self._waiting = still
+
+    async def _commit(self, batch: Batch, head: Head) -> int:
+        delay = _RETRY_MIN_S
+        while True:
+            try:
+                answer = await self._store.commit(batch)
+            except (StoreUncertainError, StoreRefusedError) as error:
+                _log.warning(
+                    'journal commit slice=%s number=%d: %s',
+                    self._part,
+                    head.number,
+                    error,
+                )
+                await trio.sleep(delay)
+                delay = min(2 * delay, _RETRY_MAX_S)
+                continue
+            match answer:
+                case Committed(version=version):
+                    return version
+                case Conflict():
+                    return self._own_version(answer, head)
+
+    def _own_version(self, conflict: Conflict, head: Head) -> int:
+        """Return the head's version if an earlier try of ours wrote it."""
+        row: StoredRow | None = conflict.find(head_key(self._part))
+        if row is None or decode(row.body, Head) != head:
+            raise OwnershipLostError(part=self._part)
+        return row.version
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -0,0 +1,156 @@
+"""Starts and stops of runs, each repeated until its outcome is certain."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from cyclamentrack.errors import WorkerSilentError
+from cyclamentrack.jobs.book import Phase, Placement
+from cyclamentrack.jobs.fleet import Worker
+from cyclamentrack.jobs.journal import OwnershipLostError
+from cyclamentrack.jobs.ports import StartAnswer, StartOrder
+
+if TYPE_CHECKING:
+    from cyclamentrack.jobs.owner import SliceOwner
+
+_log = logging.getLogger(__name__)
+
+_REPEAT_S = 0.25
+_STOP_REPEAT_S = 0.4
+_MILLISECONDS = 1000
+
+
+class Launcher:
+    """Sends decided placements to their workers."""
+
+    def __init__(self, *, owner: SliceOwner, nursery: trio.Nursery) -> None:
+        """Work for one owner."""
+        self._owner = owner
+        self._nursery = nursery
+
+    async def launch(self, placed: list[Placement]) -> None:
+        """Start runs once their records are kept."""
+        await self._owner.journal.flushed()
+        for placement in placed:
+            self._nursery.start_soon(self._start, placement)
+
+    async def _start(self, placement: Placement) -> None:
+        """Order a start until the worker's answer settles it."""
+        owner = self._owner
+        doubtful = False
+        while _is_current(owner, placement) and not placement.stopping:
+            worker = owner.fleet.workers[placement.worker]
+            answer = await self._order(worker, placement)
+            if answer is StartAnswer.SILENT:
+                doubtful = True
+                await trio.sleep(_REPEAT_S)
+                continue
+            self._settle(worker, placement, answer, doubtful)
+            return
+        if placement.stopping and not doubtful:
+            owner.run_lost(placement, why='stopped before its start')
+
+    async def _order(
+        self, worker: Worker, placement: Placement
+    ) -> StartAnswer:
+        owner = self._owner
+        now = trio.current_time()
+        lease = worker.lease_until_ms(
+            now=now, lease_s=owner.tuning.worker_lease_s
+        )
+        task = owner.book.task(placement.task)
+        if lease is None or task is None or worker.life != placement.life:
+            return StartAnswer.OTHER_LIFE
+        worker.ordered_at = now
+        job = owner.book.jobs[placement.task.job].job
+        return await owner.orders.start(
+            worker=worker.entry,
+            order=StartOrder(
+                task=placement.task,
+                run=placement.run,
+                payload=job.payload,
+                token=owner.claim.token,
+                lease_until_ms=lease,
+                checkpoint=task.checkpoint,
+                permit=placement.permit,
+            ),
+        )
+
+    def _settle(
+        self,
+        worker: Worker,
+        placement: Placement,
+        answer: StartAnswer,
+        doubtful: bool,
+    ) -> None:
+        if answer is StartAnswer.FENCED:
+            raise OwnershipLostError(part=self._owner.claim.pool)
+        now = trio.current_time()
+        if answer is StartAnswer.STARTED:
+            placement.phase = Phase.RUNNING
+            placement.confirmed_at = now
+            placement.moved_at = now
+            _log.info(
+                'run started task=%s run=%d worker=%s after_ms=%d',
+                placement.task,
+                placement.run,
+                placement.worker,
+                int((now - placement.since) * _MILLISECONDS),
+            )
+            return
+        _log.warning(
+            'start refused task=%s run=%d worker=%s reason=%s free=%s',
+            placement.task,
+            placement.run,
+            placement.worker,
+            answer.value,
+            worker.free,
+        )
+        if answer is StartAnswer.BUSY:
+            worker.note_failure(now)
+        if doubtful and answer is not StartAnswer.OTHER_LIFE:
+            self._owner.stop_run(placement)
+        else:
+            self._owner.run_lost(placement, why=f'refused: {answer.value}')
+        self._break_gang(placement)
+
+    def _break_gang(self, placement: Placement) -> None:
+        """Stop the other members: they would wait in vain."""
+        step = self._owner.book.step_of(placement.task)
+        if step is not None and step.step.gang:
+            for other in step.placed:
+                self._owner.stop_run(other)
+
+    @staticmethod
+    async def stop_until_ended(
+        owner: SliceOwner, placement: Placement
+    ) -> None:
+        """Order a stop until the run's end is listed or it is lost."""
+        while _is_current(owner, placement):
+            worker = owner.fleet.workers.get(placement.worker)
+            if worker is not None and worker.life == placement.life:
+                try:
+                    await owner.orders.stop(
+                        worker=worker.entry,
+                        task=placement.task,
+                        run=placement.run,
+                        token=owner.claim.token,
+                    )
+                except WorkerSilentError:
+                    _log.info(
+                        'stop unanswered task=%s run=%d worker=%s',
+                        placement.task,
+                        placement.run,
+                        placement.worker,
+                    )
+                else:
+                    placement.stop_heard_at = trio.current_time()
+            await trio.sleep(_STOP_REPEAT_S)
+
+
+def _is_current(owner: SliceOwner, placement: Placement) -> bool:
+    task = owner.book.task(placement.task)
+    return task is not None and task.placement is placement
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/pacing.py
@@ -0,0 +1,46 @@
+"""Pace of filling tasks beside tasks that serve users of their own.
+
+A controller per worker: filling tasks are slowed at once when a serving task
+nears its target, and sped up slowly while all of them are well below it.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+# Slow down from this share of a serving task's target on; the rest of the
+# target is left for load that changes within seconds.
+_HIGH_SHARE = 0.8
+# Speed up below this share.
+_LOW_SHARE = 0.55
+_DOWN_FACTOR = 0.4
+_UP_STEP = 10
+_FLOOR = 5
+_FULL = 100
+
+
+class ServingReading(msgspec.Struct, frozen=True, kw_only=True):
+    """A serving task's response time tail and its target, milliseconds."""
+
+    tail_ms: float
+    target_ms: float
+
+
+def next_pace(current: int, readings: Iterable[ServingReading]) -> int:
+    """Return the percentage at which filling tasks should work next.
+
+    >>> next_pace(100, [ServingReading(tail_ms=95, target_ms=100)])
+    40
+    """
+    shares = [
+        reading.tail_ms / reading.target_ms
+        for reading in readings
+        if reading.target_ms > 0
+    ]
+    worst = max(shares, default=0.0)
+    if worst >= _HIGH_SHARE:
+        slowed = int(current * _DOWN_FACTOR)
+        return slowed if slowed >= _FLOOR else 0
+    if worst < _LOW_SHARE:
+        return min(current + _UP_STEP, _FULL)
+    return current
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -0,0 +1,220 @@
+"""What callers ask of a node: submit, show, cancel, and count what waits.
+
+Every node keeps jobs in the store by itself, so that acceptance depends on no
+owner. The state of a job is its owner's to tell.
+"""
+
+import enum
+import logging
+
+import msgspec
+import trio
+
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.errors import PeerSilentError, StoreUncertainError
+from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.book import Closed
+from cyclamentrack.jobs.cell import JobCell
+from cyclamentrack.jobs.messages import (
+    AskJobState,
+    AskPermits,
+    ForwardCancel,
+    ForwardSubmit,
+    JobCellMessage,
+    JobStateIs,
+    PermitsAre,
+    Verdict,
+)
+from cyclamentrack.jobs.model import Job, JobId, JobState, Queue, QueueName
+from cyclamentrack.jobs.ports import (
+    Batch,
+    Expect,
+    StoreRefusedError,
+)
+from cyclamentrack.jobs.records import cancel_key, closed_key, job_key
+
+_log = logging.getLogger(__name__)
+
+_OWNER_ANSWER_S = 0.25
+_FORWARD_S = 1.2
+_RETRY_S = 0.1
+# Part of a caller's patience that is left for the answer's way back.
+_ANSWER_MARGIN_S = 0.3
+
+
+class Kept(enum.Enum):
+    """What came of a request that changes something.
+
+    ``REFUSED`` means that nothing was kept nor will be; ``UNKNOWN`` that
+    nobody can tell; ``GONE`` that there is no such job.
+    """
+
+    KEPT = 'kept'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    GONE = 'gone'
+
+
+class Shown(msgspec.Struct, frozen=True, kw_only=True):
+    """A job's state, or that it can't be told, or that there is none."""
+
+    state: JobState | None = None
+    known: bool = True
+
+
+class JobService:
+    """Answers callers and peers on one node."""
+
+    def __init__(self, *, cell: JobCell) -> None:
+        """Work on one node's view of the cell."""
+        self._cell = cell
+        self._store = cell.parts.store
+
+    async def submit(self, job: Job, *, patience_s: float) -> Kept:
+        """Keep a job; one of the same id that is kept already is the same."""
+        key = job_key(job.pool, job.id)
+        batch = Batch(
+            expected=(Expect(key, 0),),
+            puts=((key, encode(job)),),
+        )
+        kept = await self._keep(batch, patience_s)
+        if kept is Kept.REFUSED:
+            kept = await self._forward(ForwardSubmit(job=job))
+        return kept
+
+    async def cancel(
+        self, *, queue: Queue, job: JobId, patience_s: float
+    ) -> Kept:
+        """Cancel a job, unless there is none of this id."""
+        shown = await self.show(queue=queue, job=job)
+        if shown.known and shown.state is None:
+            return Kept.GONE
+        batch = Batch(puts=((cancel_key(queue.pool, job), b'1'),))
+        kept = await self._keep(batch, patience_s)
+        if kept is Kept.REFUSED:
+            kept = await self._forward(
+                ForwardCancel(pool=queue.pool, queue=queue.name, job=job),
+            )
+        return kept
+
+    async def show(self, *, queue: Queue, job: JobId) -> Shown:
+        """Return a job's state."""
+        owner = self._cell.owners.get(queue.pool)
+        if owner is not None and owner.recovered.is_set():
+            state = owner.book.state(job)
+        else:
+            state = await self._ask_owner(queue.pool, job)
+        if state is not None:
+            return Shown(state=state)
+        return await self._read_state(queue.pool, job)
+
+    def waiting(self, queue: QueueName, pool: PoolName) -> int:
+        """Count the queue's jobs of which no task has started."""
+        owner = self._cell.owners.get(pool)
+        if owner is not None and owner.recovered.is_set():
+            return owner.book.waiting().get(queue, 0)
+        seen = self._cell.board.seen.get(pool)
+        return seen.lease.waiting.get(queue, 0) if seen else 0
+
+    async def answer_peer(self, message: JobCellMessage) -> JobCellMessage:
+        """Answer a request of a peer."""
+        match message:
+            case AskJobState(pool=pool, job=job):
+                return self._tell_state(pool, job)
+            case AskPermits():
+                return await self._tell_permits(message)
+            case ForwardSubmit(job=job):
+                return Verdict(kept=(await self._keep_for_peer(job)).value)
+            case ForwardCancel(pool=pool, job=job):
+                batch = Batch(puts=((cancel_key(pool, job), b'1'),))
+                kept = await self._keep(batch, _FORWARD_S)
+                return Verdict(kept=kept.value)
+            case _:
+                return Verdict(kept=Kept.REFUSED.value)
+
+    async def _keep_for_peer(self, job: Job) -> Kept:
+        key = job_key(job.pool, job.id)
+        batch = Batch(
+            expected=(Expect(key, 0),),
+            puts=((key, encode(job)),),
+        )
+        return await self._keep(batch, _FORWARD_S)
+
+    def _tell_state(self, pool: PoolName, job: JobId) -> JobStateIs:
+        owner = self._cell.owners.get(pool)
+        if owner is None or not owner.recovered.is_set():
+            return JobStateIs(owned=False)
+        return JobStateIs(owned=True, state=owner.book.state(job))
+
+    async def _tell_permits(self, message: AskPermits) -> PermitsAre:
+        found = await self._cell.advise(
+            message.step, message.workers, message.timeout_s
+        )
+        if found is None:
+            return PermitsAre(answered=False)
+        return PermitsAre(
+            answered=True, granted=found.granted, valid_s=found.valid_s
+        )
+
+    async def _keep(self, batch: Batch, patience_s: float) -> Kept:
+        """Commit until it is certain or patience ends."""
+        uncertain = False
+        with trio.move_on_after(max(patience_s - _ANSWER_MARGIN_S, 0.1)):
+            while True:
+                try:
+                    await self._store.commit(batch)
+                except StoreUncertainError:
+                    uncertain = True
+                except StoreRefusedError:
+                    if not uncertain:
+                        return Kept.REFUSED
+                else:
+                    return Kept.KEPT
+                await trio.sleep(_RETRY_S)
+        return Kept.UNKNOWN
+
+    async def _forward(self, message: JobCellMessage) -> Kept:
+        """Have a peer keep what the store refuses from here."""
+        for address in self._cell.peer_addresses()[:3]:
+            try:
+                reply = await self._cell.parts.peers.call(
+                    address=address, message=message, timeout_s=_FORWARD_S
+                )
+            except PeerSilentError:
+                return Kept.UNKNOWN
+            match reply:
+                case Verdict(kept=kept) if kept != Kept.REFUSED.value:
+                    return Kept(kept)
+        return Kept.REFUSED
+
+    async def _ask_owner(
+        self, pool: PoolName, job: JobId
+    ) -> JobState | None:
+        address = self._cell.owner_address(pool)
+        if address is None:
+            return None
+        try:
+            reply = await self._cell.parts.peers.call(
+                address=address,
+                message=AskJobState(pool=pool, job=job),
+                timeout_s=_OWNER_ANSWER_S,
+            )
+        except PeerSilentError:
+            return None
+        match reply:
+            case JobStateIs(state=state):
+                return state
+            case _:
+                return None
+
+    async def _read_state(self, pool: PoolName, job: JobId) -> Shown:
+        """Read what the store keeps of a job."""
+        try:
+            closed = await self._store.read(closed_key(pool, job))
+            row = await self._store.read(job_key(pool, job))
+        except (StoreUncertainError, StoreRefusedError) as error:
+            _log.warning('state of job=%s can not be told: %s', job, error)
+            return Shown(known=False)
+        if closed is not None:
+            return Shown(state=decode(closed.body, Closed).state)
+        return Shown(state=JobState.QUEUED if row else None)
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -0,0 +1,277 @@
+"""Holding one worker: its lease, what it runs, and the ends that it lists."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from cyclamentrack.errors import WorkerSilentError
+from cyclamentrack.jobs.book import Phase, Placement
+from cyclamentrack.jobs.fleet import Worker
+from cyclamentrack.jobs.model import TaskName, WorkerState
+from cyclamentrack.jobs.pacing import ServingReading, next_pace
+from cyclamentrack.jobs.ports import HoldOrder, HoldReport, RunReport
+
+if TYPE_CHECKING:
+    from cyclamentrack.jobs.owner import SliceOwner
+
+_log = logging.getLogger(__name__)
+
+# One look a second keeps leases far from their end and progress fresh.
+_HOLD_WAIT_S = 1.0
+_SILENT_PAUSE_S = 0.2
+# While ends can't be kept, looks return at once; they are spaced so.
+_UNKEPT_PAUSE_S = 0.3
+# The journal may take so long before the next look is due all the same.
+_KEEP_WAIT_S = 0.5
+# A run that is to end sooner than its worker may leave is let be.
+_DRAIN_MARGIN_S = 0.4
+
+
+class WorkerWatch:
+    """One worker under this owner's claim."""
+
+    def __init__(self, *, owner: SliceOwner, worker: Worker) -> None:
+        """Hold nothing before ``run``."""
+        self._owner = owner
+        self._worker = worker
+        self._draining_since: float | None = None
+
+    async def run(self) -> None:
+        """Hold the worker until it is gone for certain."""
+        while not self._worker.retired:
+            sent_at = trio.current_time()
+            try:
+                report = await self._hold(sent_at)
+            except WorkerSilentError:
+                await self._take_silence()
+            else:
+                await self._take_in(report, sent_at)
+
+    async def _hold(self, sent_at: float) -> HoldReport:
+        owner = self._owner
+        worker = self._worker
+        lease = worker.lease_until_ms(
+            now=sent_at, lease_s=owner.tuning.worker_lease_s
+        )
+        if lease is not None:
+            worker.ordered_at = sent_at
+        return await owner.orders.hold(
+            worker=worker.entry,
+            order=HoldOrder(
+                token=owner.claim.token,
+                acknowledged=worker.acknowledged,
+                lease_until_ms=lease,
+                wait_s=_HOLD_WAIT_S if worker.greeted else 0.0,
+            ),
+        )
+
+    async def _take_silence(self) -> None:
+        worker = self._worker
+        now = trio.current_time()
+        if worker.lapsed(now=now, lease_s=self._owner.tuning.worker_lease_s):
+            self._lose_all('its lease has lapsed')
+            worker.clock_ms = None
+            if not worker.listed:
+                worker.retired = True
+                _log.info('worker retired worker=%s', worker.entry.id)
+        await trio.sleep(_SILENT_PAUSE_S)
+
+    async def _take_in(self, report: HoldReport, sent_at: float) -> None:
+        worker = self._worker
+        now = trio.current_time()
+        if report.life != worker.life:
+            self._take_new_life(report)
+        worker.hear(clock_ms=report.clock_ms, now=now)
+        self._take_runs(report, sent_at)
+        newest = worker.acknowledged
+        for end in report.ended:
+            if end.number > worker.acknowledged:
+                self._owner.run_ended(worker, end)
+                newest = max(newest, end.number)
+        if not worker.greeted:
+            worker.greeted = True
+            self._owner.wake()
+        self._pace()
+        self._evacuate()
+        if newest > worker.acknowledged:
+            await self._acknowledge(newest)
+
+    async def _acknowledge(self, newest: int) -> None:
+        """Acknowledge ends once what they changed is kept."""
+        life = self._worker.life
+        with trio.move_on_after(_KEEP_WAIT_S):
+            await self._owner.journal.flushed()
+            if self._worker.life == life:
+                self._worker.acknowledged = newest
+            return
+        await trio.sleep(_UNKEPT_PAUSE_S)
+
+    def _take_new_life(self, report: HoldReport) -> None:
+        """Drop what an earlier life of the worker ran."""
+        worker = self._worker
+        worker.life = report.life
+        worker.acknowledged = 0
+        for placement in self._placements():
+            if placement.life != report.life:
+                self._owner.run_lost(placement, why='its worker began anew')
+        worker.failures = 0
+
+    def _take_runs(self, report: HoldReport, sent_at: float) -> None:
+        seen: set[tuple[TaskName, int]] = set()
+        self._worker.strays = 0
+        for run in report.running:
+            seen.add((run.task, run.run))
+            self._take_run(run)
+        seen.update((end.task, end.run) for end in report.ended)
+        for placement in self._placements():
+            if (placement.task, placement.run) in seen:
+                continue
+            if self._is_missing(placement, sent_at):
+                self._owner.run_lost(placement, why='its worker lacks it')
+
+    def _is_missing(self, placement: Placement, sent_at: float) -> bool:
+        """Tell whether a run that isn't listed can't come any more.
+
+        A first look under a new token refuses what the former owner may
+        still have under way.
+        """
+        if not self._worker.greeted:
+            return True
+        if placement.stopping:
+            return 0 < placement.stop_heard_at < sent_at
+        return (
+            placement.phase is Phase.RUNNING
+            and placement.confirmed_at < sent_at
+        )
+
+    def _take_run(self, run: RunReport) -> None:
+        task = self._owner.book.task(run.task)
+        placement = task.placement if task else None
+        ours = (
+            placement is not None
+            and placement.run == run.run
+            and placement.worker == self._worker.entry.id
+        )
+        if task is None or placement is None or not ours:
+            self._worker.strays += 1
+            self._owner.nursery.start_soon(self._stop_stray, run)
+            return
+        now = trio.current_time()
+        if placement.phase is Phase.STARTING:
+            placement.phase = Phase.RUNNING
+            placement.confirmed_at = now
+            placement.moved_at = now
+        if run.percent > placement.percent:
+            placement.moved_at = now
+        placement.percent = run.percent
+        placement.reading = run.reading
+        if run.checkpoint:
+            task.checkpoint = run.checkpoint
+
+    async def _stop_stray(self, run: RunReport) -> None:
+        owner = self._owner
+        _log.info(
+            'stray run task=%s run=%d worker=%s',
+            run.task,
+            run.run,
+            self._worker.entry.id,
+        )
+        try:
+            await owner.orders.stop(
+                worker=self._worker.entry,
+                task=run.task,
+                run=run.run,
+                token=owner.claim.token,
+            )
+        except WorkerSilentError:
+            _log.info('stop of a stray run unanswered task=%s', run.task)
+
+    def _placements(self) -> list[Placement]:
+        found: list[Placement] = []
+        for name, _ in list(self._worker.holdings):
+            task = self._owner.book.task(name)
+            placement = task.placement if task else None
+            if placement and placement.worker == self._worker.entry.id:
+                found.append(placement)
+        return found
+
+    def _lose_all(self, why: str) -> None:
+        for placement in self._placements():
+            self._owner.run_lost(placement, why=why)
+        self._worker.release_all()
+
+    def _pace(self) -> None:
+        """Slow filling runs beside serving ones that near their target."""
+        readings: list[ServingReading] = []
+        fillers: list[Placement] = []
+        for placement in self._placements():
+            step = self._owner.book.step_of(placement.task)
+            if step is None or placement.phase is not Phase.RUNNING:
+                continue
+            if step.step.fills:
+                fillers.append(placement)
+            elif step.step.serving_target_ms > 0:
+                readings.append(
+                    ServingReading(
+                        tail_ms=placement.reading,
+                        target_ms=step.step.serving_target_ms,
+                    ),
+                )
+        for placement in fillers:
+            wanted = next_pace(placement.pace, readings)
+            if wanted != placement.pace:
+                placement.pace = wanted
+                self._owner.nursery.start_soon(self._send_pace, placement)
+
+    async def _send_pace(self, placement: Placement) -> None:
+        owner = self._owner
+        try:
+            await owner.orders.pace(
+                worker=self._worker.entry,
+                task=placement.task,
+                run=placement.run,
+                percent=placement.pace,
+                token=owner.claim.token,
+            )
+        except WorkerSilentError:
+            _log.info('pace unanswered task=%s', placement.task)
+
+    def _evacuate(self) -> None:
+        """Move from a worker that leaves what can't end there in time."""
+        worker = self._worker
+        if worker.entry.state is not WorkerState.DRAINING:
+            self._draining_since = None
+            return
+        now = trio.current_time()
+        if self._draining_since is None:
+            self._draining_since = now
+        left = (
+            self._draining_since
+            + self._owner.tuning.drain_s
+            - now
+            - _DRAIN_MARGIN_S
+        )
+        for placement in self._placements():
+            if placement.phase is Phase.RUNNING:
+                self._move_if_late(placement, left)
+
+    def _move_if_late(self, placement: Placement, left_s: float) -> None:
+        step = self._owner.book.step_of(placement.task)
+        if step is None or placement.stopping:
+            return
+        share = 1.0 - placement.percent / 100
+        rest = step.step.estimate_s * share
+        if step.step.lasting or rest > left_s:
+            _log.info(
+                'moving task=%s run=%d from leaving worker=%s rest_s=%.1f',
+                placement.task,
+                placement.run,
+                placement.worker,
+                rest,
+            )
+            members = step.placed if step.step.gang else [placement]
+            for member in members:
+                self._owner.stop_run(member)
--- a/packages/cyclamentrack/cyclamentrack/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/messages.py
@@ -16,6 +16,7 @@
     WorkerId,
     WorkId,
 )
+from cyclamentrack.jobs.messages import JobCellMessage
 from cyclamentrack.resources import Resources
 from cyclamentrack.work import Answer, Kind, Outcome, Work
 
@@ -256,4 +257,5 @@
     | ConfigChanged
     | Done
     | Declined
+    | JobCellMessage
 )
