--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -57,7 +57,10 @@
 # A node that lost a slice doesn't claim it again within the workers' notion
 # of two holders that take turns.
 _COOLDOWN_S = 3.2
-_FEED_WAIT_S = 20.0
+# A connection that has gone silent costs one such wait; a configuration
+# must be in force within two seconds.
+_CONFIGURATION_WAIT_S = 0.7
+_MEMBERS_WAIT_S = 4.0
 _RETRY_S = 0.2
 _HANDOVER_S = 1.5
 _PEER_SLACK_S = 0.2
@@ -89,6 +92,7 @@
         self.members: dict[str, Member] = {}
         self.board = LeaseBoard(store=parts.store)
         self.leaving = False
+        self._advising = trio.Lock()
         self._due_since: dict[PoolName, float] = {}
         self._lost_at: dict[PoolName, float] = {}
         self._keepers: dict[PoolName, LeaseKeeper] = {}
@@ -125,22 +129,32 @@
             if name != self.me.node
         ]
 
-    def lanes(self) -> dict[str, LaneCall]:
-        """Return the ways to the permit service; ``''`` is the own one."""
+    def lanes(self, pool: PoolName) -> dict[str, LaneCall]:
+        """Return a slice's ways to the permit service; ``''`` is its own.
+
+        Members that own nothing are dealt to the slices in turn, so that no
+        two owners queue on one lane.
+        """
         found: dict[str, LaneCall] = {'': self.advise}
+        pools = sorted(self.board.seen)
         owners = {seen.lease.node for seen in self.board.seen.values()}
-        for name, member in sorted(self.members.items()):
-            if name != self.me.node and name not in owners:
-                found[member.address] = self._peer_lane(member.address)
+        free = sorted(set(self.members) - owners - {self.me.node})
+        for place, name in enumerate(free):
+            if pools and pools[place % len(pools)] == pool:
+                address = self.members[name].address
+                found[address] = self._peer_lane(address)
         return found
 
     async def advise(
         self, step: StepName, workers: Sequence[WorkerId], timeout_s: float
     ) -> Permits | None:
-        """Call the permit service from this node."""
-        return await self.parts.advisor.advise(
-            step=step, workers=workers, timeout_s=timeout_s
-        )
+        """Call the permit service from this node, one call at a time."""
+        with trio.move_on_after(timeout_s):
+            async with self._advising:
+                return await self.parts.advisor.advise(
+                    step=step, workers=workers, timeout_s=timeout_s
+                )
+        return None
 
     def _peer_lane(self, address: str) -> LaneCall:
         async def call(
@@ -191,6 +205,7 @@
         key = RowKey(tables.configuration, '', tables.configuration_key)
         await self._follow(
             tables.configuration,
+            _CONFIGURATION_WAIT_S,
             lambda rows: [
                 self._take_configuration(row) for row in rows if row.key == key
             ],
@@ -214,6 +229,7 @@
     async def _follow_members(self) -> None:
         await self._follow(
             MEMBERS,
+            _MEMBERS_WAIT_S,
             lambda rows: [self._take_member(row) for row in rows],
             lambda keys: [self.members.pop(key.key, None) for key in keys],
         )
@@ -224,6 +240,7 @@
     async def _follow(
         self,
         table: str,
+        wait_s: float,
         take: Callable[[Sequence[StoredRow]], object],
         drop: Callable[[Sequence[RowKey]], object] | None = None,
     ) -> None:
@@ -236,7 +253,7 @@
                     take(page.rows)
                     version = page.version
                 changes = await self.parts.store.follow(
-                    table=table, after=version, wait_s=_FEED_WAIT_S
+                    table=table, after=version, wait_s=wait_s
                 )
             except (StoreUncertainError, StoreRefusedError):
                 await trio.sleep(_RETRY_S)
@@ -285,11 +302,13 @@
         return names.index(self.me.node) * _TURN_S + handicap
 
     async def _claim(self, pool: PoolName, nursery: trio.Nursery) -> None:
+        former = self.board.seen.get(pool)
         lease = Lease(
             node=self.me.node,
             claim=f'{self.me.node}/{secrets.token_hex(_CLAIM_BYTES)}',
             address=self.me.address,
             number=0,
+            waiting=former.lease.waiting if former else {},
         )
         try:
             claim = await claim_slice(
@@ -355,7 +374,10 @@
     async def _renew(self, owner: SliceOwner, keeper: LeaseKeeper) -> None:
         while True:
             try:
-                await keeper.renew(waiting=owner.book.waiting())
+                if owner.recovered.is_set():
+                    await keeper.renew(waiting=owner.book.waiting())
+                else:
+                    await keeper.renew(waiting=None)
             except (StoreUncertainError, StoreRefusedError) as error:
                 _log.warning(
                     'lease not renewed pool=%s: %s', owner.claim.pool, error
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -32,7 +32,7 @@
 # Three renewals missed; a successor is at work well before workers' leases,
 # which last 6 s or more, have ended.
 LAPSE_S = 2.0
-_FOLLOW_WAIT_S = 5.0
+_FOLLOW_WAIT_S = 0.9
 # Renewals of all slices that come within this time share one answer.
 _FOLLOW_GAP_S = 0.35
 _RETRY_S = 0.2
@@ -185,9 +185,12 @@
         self._version: int = claim.token
 
     async def renew(
-        self, *, waiting: dict[QueueName, int], released: bool = False
+        self,
+        *,
+        waiting: dict[QueueName, int] | None,
+        released: bool = False,
     ) -> None:
-        """Renew once.
+        """Renew once; without a count of what waits the last one stays.
 
         Raises ``OwnershipLostError`` when another claim stands there.
         """
@@ -195,7 +198,7 @@
         lease = msgspec.structs.replace(
             self._lease,
             number=self._lease.number + 1,
-            waiting=waiting,
+            waiting=self._lease.waiting if waiting is None else waiting,
             released=released,
         )
         self._lease = lease
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -37,6 +37,29 @@
     workers: list[Worker]
 
 
+class _Demand:
+    """What this round's wishes would take of the room that is free.
+
+    Steps for which no room would be left don't wish: their permits would
+    end before they could be used, and the service's time is scarce.
+    """
+
+    def __init__(self, usable: list[Worker]) -> None:
+        self._cores = sum(worker.free.milli_cores for worker in usable)
+        self._devices = sum(worker.free.accelerators for worker in usable)
+
+    def admit(self, step: StepRun, count: int) -> bool:
+        """Count a step's wish, unless nothing is left for it."""
+        need = charge(step.step)
+        if need.milli_cores and self._cores <= 0:
+            return False
+        if need.accelerators and self._devices <= 0:
+            return False
+        self._cores -= need.milli_cores * count
+        self._devices -= need.accelerators * count
+        return True
+
+
 class Round(msgspec.Struct, kw_only=True):
     """What one round decided."""
 
@@ -63,8 +86,10 @@
             for worker in self._fleet.workers.values()
             if worker.usable(now=now, silence_s=_SILENCE_S)
         ]
+        demand = _Demand(usable)
         for entry, step in self._in_order():
             self._place_step(entry, step, usable, now, outcome)
+            self._wish(entry, step, usable, demand, outcome)
         return outcome
 
     def _in_order(self) -> list[tuple[JobRun, StepRun]]:
@@ -109,8 +134,6 @@
                     permit=permit_of(worker) or '',
                 ),
             )
-        if len(chosen) < len(tasks):
-            self._wish(entry, step, eligible, outcome)
 
     def _permit_lookup(
         self, entry: JobRun, step: StepRun, now: float
@@ -129,16 +152,30 @@
         self,
         entry: JobRun,
         step: StepRun,
-        eligible: list[Worker],
+        usable: list[Worker],
+        demand: _Demand,
         outcome: Round,
     ) -> None:
-        if entry.queue.permits is None:
+        """Ask for permits on workers that have room for what is left."""
+        placed = {
+            one.task.name.index
+            for one in outcome.assignments
+            if one.step is step
+        }
+        left = [task for task in step.idle if task.name.index not in placed]
+        if entry.queue.permits is None or not left:
             return
-        known = self._permits.of(step.name)
+        bad = self._permits.of(step.name).bad
         wanted = [
-            worker for worker in eligible if worker.entry.id not in known.bad
+            worker
+            for worker in usable
+            if worker.entry.id not in bad
+            and _suits(step, worker)
+            and charge(step.step).fits(worker.free)
         ]
-        if wanted:
+        if not wanted or (step.step.gang and not _place_gang(step, wanted)):
+            return
+        if demand.admit(step, len(left)):
             outcome.wishes.append(
                 PermitWish(entry=entry, step=step, workers=wanted),
             )
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -14,7 +14,7 @@
 
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import StoreUncertainError
-from cyclamentrack.ids import WorkerId
+from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.book import (
     Closed,
     JobBook,
@@ -38,7 +38,12 @@
     JobState,
     Queue,
 )
-from cyclamentrack.jobs.permits import LaneCall, PermitBook
+from cyclamentrack.jobs.permits import (
+    SHORT_CALL_S,
+    LaneCall,
+    PermitBook,
+    PermitCall,
+)
 from cyclamentrack.jobs.ports import (
     Batch,
     CellTables,
@@ -69,7 +74,9 @@
 
 _log = logging.getLogger(__name__)
 
-_FEED_WAIT_S = 10.0
+# A feed's connection that has gone silent is noticed after this and the
+# adapter's slack; what callers hand in meanwhile waits so long.
+_FEED_WAIT_S = 1.0
 _FEED_RETRY_S = 0.15
 # Rounds that nothing woke: due times, permits and probations that end.
 _IDLE_ROUND_S = 0.2
@@ -92,7 +99,7 @@
     tables: CellTables
     tuning: Tuning
     configuration: Callable[[], Configuration | None]
-    lanes: Callable[[], dict[str, LaneCall]]
+    lanes: Callable[[PoolName], dict[str, LaneCall]]
     wall_clock: Callable[[], float]
 
 
@@ -130,7 +137,7 @@
             nursery.start_soon(self.journal.run)
             permits = PermitBook(
                 nursery=nursery,
-                lanes=self._parts.lanes,
+                lanes=lambda: self._parts.lanes(self.claim.pool),
                 on_answer=self.wake,
             )
             launcher = Launcher(owner=self, nursery=nursery)
@@ -305,23 +312,36 @@
     def _act(
         self, outcome: Round, permits: PermitBook, launcher: Launcher
     ) -> None:
-        for wish in outcome.wishes:
-            policy = wish.entry.queue.permits
-            if policy is not None:
-                permits.ask(
+        permits.offer(
+            [
+                PermitCall(
                     step=wish.step.name,
-                    policy=policy,
+                    policy=wish.entry.queue.permits,
                     workers={
                         worker.entry.id: worker.life
                         for worker in wish.workers
                     },
                 )
+                for wish in outcome.wishes
+                if wish.entry.queue.permits is not None
+            ],
+            keep_own_short=self._has_short_permits(),
+        )
         placed = [self._place(given) for given in outcome.assignments]
         for step in {id(one.step): one.step for one in outcome.assignments}.values():
             self.keep_step(step)
         if placed:
             self.nursery.start_soon(launcher.launch, placed)
 
+    def _has_short_permits(self) -> bool:
+        configuration = self._parts.configuration()
+        return configuration is not None and any(
+            queue.pool == self.claim.pool
+            and queue.permits is not None
+            and queue.permits.decide_s <= SHORT_CALL_S
+            for queue in configuration.queues
+        )
+
     def _place(self, given: Assignment) -> Placement:
         task = given.task
         task.run += 1
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -1,9 +1,11 @@
-"""Permits to place: which workers to name, on which lane, and what is known.
+"""Permits to place: which step to ask for, on which lane, and what is known.
 
 The permit service handles one call at a time for each instance that calls,
-so every instance of the cell is a lane of its own. Short calls stay on the
-owner's lane; long ones go to the least busy other lane, so that a quick
-lookup never waits behind a gang's decision.
+so every instance of the cell is a lane of its own. A lane is given one call
+at a time, always the most urgent wish of the latest round: what waits is
+never a call that nobody needs any more. Long calls keep off the owner's own
+lane while its pool has queues with short ones, so that a quick lookup never
+waits behind a gang's decision.
 """
 
 import logging
@@ -23,10 +25,10 @@
 # A permit must outlive the commit and the order that follow the decision.
 _USE_MARGIN_S = 0.15
 # Calls above this are kept off the owner's own lane.
-_SHORT_CALL_S = 0.06
-# A call's answer may take so much longer than its own time, by queues.
-_CALL_SLACK_S = 1.0
-_RETRY_PAUSE_S = 0.25
+SHORT_CALL_S = 0.06
+# A lane has one call at a time, so an answer is this late only if it is lost.
+_CALL_SLACK_S = 0.6
+_RETRY_PAUSE_S = 0.3
 
 LaneCall = Callable[
     [StepName, Sequence[WorkerId], float],
@@ -58,6 +60,27 @@
         return granted.permit
 
 
+class PermitCall(msgspec.Struct, frozen=True, kw_only=True):
+    """A call that a step wishes for.
+
+    ``workers`` gives each one's life, since a permit ends with it.
+    """
+
+    step: StepName
+    policy: PermitPolicy
+    workers: dict[WorkerId, int]
+
+    @property
+    def named(self) -> list[WorkerId]:
+        """The workers that the call names."""
+        return list(self.workers)[:MAX_NAMED]
+
+    @property
+    def cost_s(self) -> float:
+        """How long the service takes."""
+        return self.policy.decide_s + self.policy.each_s * len(self.named)
+
+
 class PermitBook:
     """All steps' permits; asks for more over the lanes."""
 
@@ -73,7 +96,9 @@
         self._lanes = lanes
         self._on_answer = on_answer
         self._steps: dict[StepName, StepPermits] = {}
-        self._backlog: dict[str, float] = {}
+        self._busy: set[str] = set()
+        self._wishes: list[PermitCall] = []
+        self._keep_own_short = False
 
     def of(self, step: StepName) -> StepPermits:
         """Return what is known of a step."""
@@ -87,74 +112,79 @@
         """Drop what is known of a step that has ended."""
         self._steps.pop(step, None)
 
-    def ask(
-        self,
-        *,
-        step: StepName,
-        policy: PermitPolicy,
-        workers: dict[WorkerId, int],
+    def offer(
+        self, wishes: list[PermitCall], *, keep_own_short: bool
     ) -> None:
-        """Ask for permits on some workers, unless that is under way.
+        """Replace the wishes by those of a new round, most urgent first."""
+        self._wishes = wishes
+        self._keep_own_short = keep_own_short
+        self._use_lanes()
 
-        ``workers`` gives each one's life, since a permit ends with it.
-        """
-        known = self.of(step)
-        if known.asking or not workers or trio.current_time() < known.not_before:
-            return
-        known.asking = True
-        self._nursery.start_soon(self._ask, step, policy, workers)
+    def _use_lanes(self) -> None:
+        lanes = self._lanes()
+        now = trio.current_time()
+        for wish in self._wishes:
+            known = self.of(wish.step)
+            if known.asking or now < known.not_before:
+                continue
+            lane = self._free_lane(lanes, wish)
+            if lane is None:
+                continue
+            known.asking = True
+            self._busy.add(lane)
+            self._nursery.start_soon(self._ask, wish, lane, lanes[lane])
+
+    def _free_lane(
+        self, lanes: dict[str, LaneCall], wish: PermitCall
+    ) -> str | None:
+        short = wish.cost_s <= SHORT_CALL_S
+        others = sorted(lane for lane in lanes if lane)
+        allowed = others
+        if short or not self._keep_own_short or not others:
+            allowed = ['', *others]
+        for lane in allowed:
+            if lane not in self._busy:
+                return lane
+        return None
 
     async def _ask(
-        self,
-        step: StepName,
-        policy: PermitPolicy,
-        workers: dict[WorkerId, int],
+        self, wish: PermitCall, lane: str, call: LaneCall
     ) -> None:
-        named = list(workers)[:MAX_NAMED]
-        cost = policy.decide_s + policy.each_s * len(named)
-        lanes = self._lanes()
-        lane = self._pick(lanes, cost)
-        self._backlog[lane] = self._backlog.get(lane, 0.0) + cost
-        timeout = self._backlog[lane] + _CALL_SLACK_S
         asked_at = trio.current_time()
+        named = wish.named
         try:
-            answer = await lanes[lane](step, named, timeout)
+            answer = await call(
+                wish.step, named, wish.cost_s + _CALL_SLACK_S
+            )
         finally:
-            self._backlog[lane] -= cost
-        self._take_in(step, answer, workers, named)
-        _log.debug(
-            'permits step=%s lane=%s named=%d good=%s took_ms=%d',
-            step,
+            self._busy.discard(lane)
+        _log.info(
+            'permits step=%s lane=%s named=%d good=%s after_ms=%d',
+            wish.step,
             lane or 'own',
             len(named),
             len(answer.granted) if answer else 'none',
             int((trio.current_time() - asked_at) * 1000),
         )
+        self._take_in(wish, answer, named)
+        self._on_answer()
 
     def _take_in(
         self,
-        step: StepName,
+        wish: PermitCall,
         answer: Permits | None,
-        workers: dict[WorkerId, int],
         named: list[WorkerId],
     ) -> None:
-        known = self.of(step)
+        known = self.of(wish.step)
         known.asking = False
         now = trio.current_time()
         if answer is None:
             known.not_before = now + _RETRY_PAUSE_S
-        else:
-            for worker, permit in answer.granted.items():
-                known.good[worker] = _Granted(
-                    permit,
-                    now + answer.valid_s,
-                    workers.get(worker, 0),
-                )
-            known.bad.update(set(named) - set(answer.granted))
-        self._on_answer()
-
-    def _pick(self, lanes: dict[str, LaneCall], cost: float) -> str:
-        others = [lane for lane in lanes if lane]
-        if cost <= _SHORT_CALL_S or not others:
-            return ''
-        return min(others, key=lambda lane: self._backlog.get(lane, 0.0))
+            return
+        for worker, permit in answer.granted.items():
+            known.good[worker] = _Granted(
+                permit,
+                now + answer.valid_s,
+                wish.workers.get(worker, 0),
+            )
+        known.bad.update(set(named) - set(answer.granted))
