--- a/packages/cyclamentrack/cyclamentrack/jobs/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/journal.py
@@ -88,10 +88,15 @@
         return trio.current_time() - self.behind_since
 
     def put(self, key: RowKey, body: bytes | None) -> None:
-        """Queue a write; ``None`` removes the row."""
+        """Queue a write; ``None`` removes the row.
+
+        A row that is still queued keeps its place, so whoever waits for its
+        first form waits for this one.
+        """
         self._last += 1
-        self._pending.pop(key, None)
-        self._pending[key] = (self._last, body)
+        queued = self._pending.get(key)
+        number = queued[0] if queued else self._last
+        self._pending[key] = (number, body)
         self._wake.set()
 
     async def flushed(self) -> None:
