Test the job cell on a paused clock; let a silent worker's lease end

Cause, each found by a scenario that failed first: looks at a silent worker went on extending its lease, so its tasks were never given up; a node that the store turns away could not tell the state of a job. Tried starts keep the first try's lease.

--- /dev/null
+++ b/features/harness/jobworld.py
@@ -0,0 +1,251 @@
+"""A job cell on a paused clock: nodes, workers, and jobs of a test."""
+
+import msgspec
+import trio
+
+from cyclamentrack.errors import PeerSilentError
+from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.cell import CellParts, JobCell
+from cyclamentrack.jobs.model import (
+    Configuration,
+    Job,
+    JobId,
+    PermitPolicy,
+    Queue,
+    QueueName,
+    Step,
+    WorkerEntry,
+    WorkerState,
+)
+from cyclamentrack.jobs.ports import CellTables, RowKey, Tuning
+from cyclamentrack.jobs.records import Member
+from cyclamentrack.jobs.service import JobService
+from cyclamentrack.resources import Resources
+from cyclamentrack_standins.jobrows import MemoryRows
+from cyclamentrack_standins.jobworkers import (
+    Behaviour,
+    MemoryAdvisor,
+    MemoryWorkers,
+)
+from features.harness.loop import PausedLoop
+
+POOL = PoolName('booking')
+_LEASE_S = 6.0
+_TABLES = CellTables(
+    configuration='op', configuration_key='config', workers='servers'
+)
+
+
+class _Translator:
+    def configuration(self, body):
+        return msgspec.json.decode(body, type=Configuration)
+
+    def worker(self, key, body):
+        del key
+        return msgspec.json.decode(body, type=WorkerEntry)
+
+
+class _Peers:
+    def __init__(self, world):
+        self._world = world
+
+    async def call(self, *, address, message, timeout_s):
+        await trio.sleep(0.001)
+        service = self._world.services.get(address)
+        if service is None:
+            await trio.sleep(timeout_s)
+            raise PeerSilentError(peer=address)
+        return await service.answer_peer(message)
+
+
+class JobWorld:
+    """Nodes that share a store and workers."""
+
+    def __init__(self, *, seed=1):
+        self.loop = PausedLoop(seed=seed)
+        self.rows = MemoryRows()
+        self.workers = MemoryWorkers()
+        self.advisor = MemoryAdvisor(decide_s=0.02, valid_s=2.0)
+        self.services = {}
+        self.cells = {}
+        self.scopes = {}
+        self.queues = {}
+        self.version = 0
+        self._jobs = 0
+        self.loop.run(self._begin)
+
+    def close(self):
+        self.loop.close()
+
+    def configure(self, *queues):
+        """Put a configuration in force."""
+        self.version += 1
+        self.queues = {queue.name: queue for queue in queues}
+        found = Configuration(
+            version=self.version,
+            queues=tuple(queues),
+            pools=(POOL,),
+            max_body_bytes=65536,
+        )
+        self.loop.run(
+            self._put, RowKey('op', '', 'config'), msgspec.json.encode(found)
+        )
+
+    def add_worker(self, number, *, cores=16, state=WorkerState.READY, life=1):
+        """Add a worker, or write its entry anew."""
+        entry = WorkerEntry(
+            id=WorkerId(f'w{number}'),
+            pool=POOL,
+            address=f'w{number}:80',
+            zone='z',
+            capacity=Resources(milli_cores=cores * 1000, memory_mib=64000),
+            labels=('a', f'r{number // 3}'),
+            state=state,
+            life=life,
+        )
+        if entry.id in self.workers.workers:
+            self.workers.workers[entry.id].entry = entry
+        else:
+            self.workers.add(entry)
+        self.loop.run(self._put_worker, entry)
+        return self.workers.workers[entry.id]
+
+    def drop_worker_entry(self, number):
+        async def drop():
+            self.rows.remove(RowKey('servers', '', f'w{number}'))
+
+        self.loop.run(drop)
+
+    def start_node(self, name):
+        self.loop.run(self._start_node, name)
+
+    def kill_node(self, name):
+        async def kill():
+            self.scopes.pop(name).cancel()
+            self.services.pop(name)
+            self.cells.pop(name)
+
+        self.loop.run(kill)
+
+    def owner(self):
+        """Return the name of the node that owns the pool."""
+        for name, cell in self.cells.items():
+            if POOL in cell.owners:
+                return name
+        return None
+
+    def submit(self, *steps, queue='lookups', work_s=1.0, fails=0, node=None):
+        """Hand a job in and return its id and what the node answered."""
+        self._jobs += 1
+        job = JobId(f'{self._jobs:016x}')
+        for number, step in enumerate(steps):
+            self.workers.behaviours[job, number] = Behaviour(
+                step=step, work_s=work_s, fails=fails
+            )
+        entry = Job(
+            id=job,
+            queue=QueueName(queue),
+            pool=POOL,
+            payload='x',
+            steps=tuple(steps),
+            accepted_at_s=self.loop.run(self._now),
+        )
+        service = self.services[node or next(iter(self.services))]
+
+        async def hand_in():
+            return await service.submit(entry, patience_s=3.0)
+
+        return job, self.loop.run(hand_in)
+
+    def cancel(self, job, *, queue='lookups'):
+        service = next(iter(self.services.values()))
+
+        async def ask():
+            return await service.cancel(
+                queue=self.queues[queue], job=job, patience_s=3.0
+            )
+
+        return self.loop.run(ask)
+
+    def state(self, job, *, queue='lookups', node=None):
+        """Return what a node tells of a job."""
+        service = self.services[node or next(iter(self.services))]
+
+        async def ask():
+            return await service.show(queue=self.queues[queue], job=job)
+
+        return self.loop.run(ask).state
+
+    async def _now(self):
+        return trio.current_time()
+
+    async def _begin(self):
+        self.loop.nursery.start_soon(self.workers.run)
+
+    async def _put(self, key, body):
+        self.rows.put(key, body)
+
+    async def _put_worker(self, entry):
+        self.rows.put(
+            RowKey('servers', '', entry.id), msgspec.json.encode(entry)
+        )
+
+    async def _start_node(self, name):
+        cell = JobCell(
+            me=Member(node=name, incarnation='1', address=name, zone='z'),
+            parts=CellParts(
+                store=self.rows.client(name),
+                orders=self.workers.orders(),
+                advisor=self.advisor,
+                translator=_Translator(),
+                tables=_TABLES,
+                tuning=Tuning(
+                    worker_lease_s=_LEASE_S,
+                    stop_s=0.9,
+                    gang_start_s=3.0,
+                    drain_s=2.0,
+                    status_s=120.0,
+                    far_factor=2.0,
+                ),
+                peers=_Peers(self),
+                wall_clock=trio.current_time,
+            ),
+        )
+        self.cells[name] = cell
+        self.services[name] = JobService(cell=cell)
+        scope = trio.CancelScope()
+        self.scopes[name] = scope
+
+        async def run():
+            with scope:
+                await cell.run()
+
+        self.loop.nursery.start_soon(run)
+
+
+def make_queue(name, *, priority=0, attempts=3, permits=None, pool=POOL):
+    """Return a queue of the tests' pool."""
+    policy = None
+    if permits is not None:
+        policy = PermitPolicy(decide_s=permits, each_s=0.0, valid_s=2.0)
+    return Queue(
+        name=QueueName(name),
+        host='h',
+        path_prefix=f'/{name}/',
+        pool=pool,
+        priority=priority,
+        max_attempts=attempts,
+        stretch=1.5,
+        target_s=0.25,
+        permits=policy,
+    )
+
+
+def make_step(count=1, *, cores=1.0, **changes):
+    """Return a step of small tasks."""
+    return Step(
+        count=count,
+        need=Resources(milli_cores=int(cores * 1000), memory_mib=100),
+        estimate_s=1.0,
+        **changes,
+    )
--- /dev/null
+++ b/features/jobs/cell.feature
@@ -0,0 +1,119 @@
+Feature: A job cell keeps its promises
+
+  Background:
+    Given a job cell of 3 nodes and 4 workers
+
+  Scenario: Steps run one after the other to their end
+    When a job of the steps "4, 3 after 0, 2 after 1" is submitted
+    And 6 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: A gang starts together and ends as one
+    When a gang of 3 tasks is submitted
+    And 4 seconds go by
+    Then the job is shown as "completed" by every node
+    And all its starts came within 0.5 seconds
+
+  Scenario: A task that always fails ends its job as failed
+    When a job whose tasks fail 9 times is submitted
+    And 8 seconds go by
+    Then the job is shown as "failed" by every node
+    And each of its tasks was started 3 times at most
+
+  Scenario: A cancelled job stops and starts nothing more
+    When a job of lasting tasks is submitted
+    And 2 seconds go by
+    And the job is cancelled
+    And 3 seconds go by
+    Then the job is shown as "cancelled" by every node
+    And no worker runs anything
+
+  Scenario: A lasting task is restarted when its worker begins a new life
+    When a job of lasting tasks is submitted
+    And 2 seconds go by
+    And every worker begins a new life
+    And 3 seconds go by
+    Then all of its tasks run
+    And the workers' record is clean
+
+  Scenario: A successor adopts what runs and starts nothing twice
+    When a job of the steps "6, 6 after 0" is submitted
+    And 0.5 seconds go by
+    And the owner is killed
+    And 8 seconds go by
+    Then the job is shown as "completed" by every node
+    And each of its tasks was started 1 time at most
+    And the workers' record is clean
+
+  Scenario: A start that is carried out late never runs beside another
+    Given 2 starts are carried out late by every worker
+    When a job of the steps "6" is submitted
+    And 0.5 seconds go by
+    And the owner is killed
+    And 20 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: A silent worker's tasks wait for its lease to end
+    When a job of the steps "4" of 5 seconds is submitted
+    And 1 second goes by
+    And every worker but one falls silent
+    And 30 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: An end is acknowledged only once it is kept
+    When a job of the steps "6" is submitted
+    And the store goes down in 0.9 seconds
+    And 3 seconds go by
+    And the owner is killed
+    And the store is back
+    And 8 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: Replies of the store are lost
+    Given the next 5 replies of the store are lost
+    When a job of the steps "4, 3 after 0" is submitted
+    And 20 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: Writes are carried out seconds late
+    Given the next 4 writes are carried out late
+    When a job of the steps "4, 3 after 0" is submitted
+    And 25 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: History of the store is dropped
+    When a job of lasting tasks is submitted
+    And 1 second goes by
+    And the store's history is dropped
+    And a job of the steps "4" is submitted
+    And 5 seconds go by
+    Then the job is shown as "completed" by every node
+
+  Scenario: A node that the store turns away has a peer keep the job
+    Given the store turns the last node away
+    When a job of the steps "2" is submitted through the last node
+    And 4 seconds go by
+    Then the job is shown as "completed" by every node
+
+  Scenario: An owner that the store turns away is succeeded
+    When a job of the steps "4, 4 after 0" is submitted
+    And 0.5 seconds go by
+    And the store turns the owner away
+    And 10 seconds go by
+    Then another node owns the pool
+    And the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: A draining worker gets nothing new and lasting tasks move
+    When a job of lasting tasks is submitted
+    And 2 seconds go by
+    And every worker but one drains
+    And 3 seconds go by
+    Then all of its tasks run on the worker that stays
+    And the workers' record is clean
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -63,6 +63,7 @@
     phase: Phase
     since: float
     permit: str = ''
+    lease_until_ms: int | None = None
     confirmed_at: float = 0.0
     percent: float = 0.0
     moved_at: float = 0.0
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -38,7 +38,11 @@
             self._nursery.start_soon(self._start, placement)
 
     async def _start(self, placement: Placement) -> None:
-        """Order a start until the worker's answer settles it."""
+        """Order a start until the worker's answer settles it.
+
+        Every try carries the first one's lease, so that it is certain when a
+        worker that stays silent runs it no more.
+        """
         owner = self._owner
         doubtful = False
         while _is_current(owner, placement) and not placement.stopping:
@@ -57,14 +61,15 @@
         self, worker: Worker, placement: Placement
     ) -> StartAnswer:
         owner = self._owner
-        now = trio.current_time()
-        lease = worker.lease_until_ms(
-            now=now, lease_s=owner.tuning.worker_lease_s
-        )
         task = owner.book.task(placement.task)
-        if lease is None or task is None or worker.life != placement.life:
+        if task is None or worker.life != placement.life:
             return StartAnswer.OTHER_LIFE
-        worker.ordered_at = now
+        if placement.lease_until_ms is None:
+            now = trio.current_time()
+            worker.ordered_at = now
+            placement.lease_until_ms = worker.lease_until_ms(
+                now=now, lease_s=owner.tuning.worker_lease_s
+            )
         job = owner.book.jobs[placement.task.job].job
         return await owner.orders.start(
             worker=worker.entry,
@@ -73,7 +78,7 @@
                 run=placement.run,
                 payload=job.payload,
                 token=owner.claim.token,
-                lease_until_ms=lease,
+                lease_until_ms=placement.lease_until_ms or 0,
                 checkpoint=task.checkpoint,
                 permit=placement.permit,
             ),
--- a/packages/cyclamentrack/cyclamentrack/jobs/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/messages.py
@@ -20,6 +20,20 @@
     state: JobState | None = None
 
 
+class ForwardShow(msgspec.Struct, frozen=True, kw_only=True, tag='fwd-show'):
+    """Tell a job's state for a node that knows neither owner nor store."""
+
+    pool: PoolName
+    job: JobId
+
+
+class ShownIs(msgspec.Struct, frozen=True, kw_only=True, tag='shown'):
+    """What the peer would tell a caller of its own."""
+
+    known: bool
+    state: JobState | None = None
+
+
 class AskPermits(msgspec.Struct, frozen=True, kw_only=True, tag='ask-permits'):
     """Ask a peer to call the permit service from its own instance."""
 
@@ -59,6 +73,8 @@
 JobCellMessage = (
     AskJobState
     | JobStateIs
+    | ForwardShow
+    | ShownIs
     | AskPermits
     | PermitsAre
     | ForwardSubmit
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -19,10 +19,12 @@
     AskJobState,
     AskPermits,
     ForwardCancel,
+    ForwardShow,
     ForwardSubmit,
     JobCellMessage,
     JobStateIs,
     PermitsAre,
+    ShownIs,
     Verdict,
 )
 from cyclamentrack.jobs.model import Job, JobId, JobState, Queue, QueueName
@@ -37,6 +39,8 @@
 
 _OWNER_ANSWER_S = 0.25
 _FORWARD_S = 1.2
+_PEER_ANSWER_S = 0.5
+_PEERS_ASKED = 3
 _RETRY_S = 0.1
 # Part of a caller's patience that is left for the answer's way back.
 _ANSWER_MARGIN_S = 0.3
@@ -106,7 +110,10 @@
             state = await self._ask_owner(queue.pool, job)
         if state is not None:
             return Shown(state=state)
-        return await self._read_state(queue.pool, job)
+        shown = await self._read_state(queue.pool, job)
+        if not shown.known:
+            shown = await self._ask_peers(queue.pool, job)
+        return shown
 
     def waiting(self, queue: QueueName, pool: PoolName) -> int:
         """Count the queue's jobs of which no task has started."""
@@ -123,6 +130,8 @@
                 return self._tell_state(pool, job)
             case AskPermits():
                 return await self._tell_permits(message)
+            case ForwardShow(pool=pool, job=job):
+                return await self._tell_shown(pool, job)
             case ForwardSubmit(job=job):
                 return Verdict(kept=(await self._keep_for_peer(job)).value)
             case ForwardCancel(pool=pool, job=job):
@@ -146,6 +155,32 @@
             return JobStateIs(owned=False)
         return JobStateIs(owned=True, state=owner.book.state(job))
 
+    async def _tell_shown(self, pool: PoolName, job: JobId) -> ShownIs:
+        told = self._tell_state(pool, job)
+        state = told.state
+        if not told.owned:
+            state = await self._ask_owner(pool, job)
+        if state is not None:
+            return ShownIs(known=True, state=state)
+        shown = await self._read_state(pool, job)
+        return ShownIs(known=shown.known, state=shown.state)
+
+    async def _ask_peers(self, pool: PoolName, job: JobId) -> Shown:
+        """Ask peers what they would tell; the store can't be read here."""
+        for address in self._cell.peer_addresses()[:_PEERS_ASKED]:
+            try:
+                reply = await self._cell.parts.peers.call(
+                    address=address,
+                    message=ForwardShow(pool=pool, job=job),
+                    timeout_s=_PEER_ANSWER_S,
+                )
+            except PeerSilentError:
+                continue
+            match reply:
+                case ShownIs(known=True, state=state):
+                    return Shown(state=state)
+        return Shown(known=False)
+
     async def _tell_permits(self, message: AskPermits) -> PermitsAre:
         found = await self._cell.advise(
             message.step, message.workers, message.timeout_s
@@ -175,7 +210,7 @@
 
     async def _forward(self, message: JobCellMessage) -> Kept:
         """Have a peer keep what the store refuses from here."""
-        for address in self._cell.peer_addresses()[:3]:
+        for address in self._cell.peer_addresses()[:_PEERS_ASKED]:
             try:
                 reply = await self._cell.parts.peers.call(
                     address=address, message=message, timeout_s=_FORWARD_S
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -22,6 +22,9 @@
 # One look a second keeps leases far from their end and progress fresh.
 _HOLD_WAIT_S = 1.0
 _SILENT_PAUSE_S = 0.2
+# Looks that go unanswered may be carried out late; from so many on they don't
+# extend the lease, or it would never be certain to have ended.
+_UNANSWERED_LOOKS = 2
 # While ends can't be kept, looks return at once; they are spaced so.
 _UNKEPT_PAUSE_S = 0.3
 # The journal may take so long before the next look is due all the same.
@@ -38,6 +41,7 @@
         self._owner = owner
         self._worker = worker
         self._draining_since: float | None = None
+        self._unanswered = 0
 
     async def run(self) -> None:
         """Hold the worker until it is gone for certain."""
@@ -56,6 +60,8 @@
         lease = worker.lease_until_ms(
             now=sent_at, lease_s=owner.tuning.worker_lease_s
         )
+        if self._unanswered >= _UNANSWERED_LOOKS:
+            lease = None
         if lease is not None:
             worker.ordered_at = sent_at
         return await owner.orders.hold(
@@ -70,6 +76,7 @@
 
     async def _take_silence(self) -> None:
         worker = self._worker
+        self._unanswered += 1
         now = trio.current_time()
         if worker.lapsed(now=now, lease_s=self._owner.tuning.worker_lease_s):
             self._lose_all('its lease has lapsed')
@@ -85,6 +92,7 @@
         if report.life != worker.life:
             self._take_new_life(report)
         worker.hear(clock_ms=report.clock_ms, now=now)
+        self._unanswered = 0
         self._take_runs(report, sent_at)
         newest = worker.acknowledged
         for end in report.ended:
