--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -130,6 +130,7 @@
     queue: Queue
     arrived_at: float
     chain_s: float
+    tails: tuple[float, ...]
     cancelled: bool = False
     state: JobState | None = None
     steps: dict[tuple[int, int], StepRun] = msgspec.field(
@@ -168,6 +169,19 @@
     return max(ends, default=0.0)
 
 
+def chain_tails_s(
+    job: Job, *, step_overhead_s: float = 0.0
+) -> tuple[float, ...]:
+    """Return for each step the longest chain from its start to the end."""
+    tails = [step.estimate_s for step in job.steps]
+    for number in reversed(range(len(job.steps))):
+        for before in job.steps[number].after:
+            own = job.steps[before].estimate_s
+            later = own + step_overhead_s + tails[number]
+            tails[before] = max(tails[before], later)
+    return tuple(tails)
+
+
 class JobBook:
     """All jobs of one slice."""
 
@@ -188,6 +202,7 @@
             queue=queue,
             arrived_at=now,
             chain_s=longest_chain_s(job, step_overhead_s=overhead),
+            tails=chain_tails_s(job, step_overhead_s=overhead),
         )
         self.jobs[job.id] = entry
         return entry
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -13,6 +13,7 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Fleet, Worker, charge
+from cyclamentrack.jobs.order import turn
 from cyclamentrack.jobs.permits import PermitBook
 from cyclamentrack.resources import Resources
 
@@ -87,18 +88,18 @@
             if worker.usable(now=now, silence_s=_SILENCE_S)
         ]
         demand = _Demand(usable)
-        for entry, step in self._in_order():
+        for entry, step in self._in_order(now):
             self._place_step(entry, step, usable, now, outcome)
             self._wish(entry, step, usable, demand, outcome)
         return outcome
 
-    def _in_order(self) -> list[tuple[JobRun, StepRun]]:
+    def _in_order(self, now: float) -> list[tuple[JobRun, StepRun]]:
         ready = [
             (self._book.jobs[step.name.job], step)
             for step in self._book.open_steps.values()
             if step.idle
         ]
-        ready.sort(key=lambda pair: (pair[0].queue.priority, pair[0].due_by))
+        ready.sort(key=lambda pair: turn(*pair, now))
         return ready
 
     def _place_step(
@@ -274,7 +275,7 @@
 
     def _cost(
         self, worker: Worker, avoid: set[WorkerId]
-    ) -> tuple[bool, bool, bool, float]:
+    ) -> tuple[bool, bool, bool, int, float]:
         step = self._step
         far = bool(step.data_rack) and step.data_rack != worker.entry.rack
         disturbed = step.serving_target_ms > 0 and any(
@@ -284,9 +285,21 @@
             worker.entry.id in avoid,
             far,
             disturbed,
+            self._devices_left(worker),
             self._rest(worker) * worker.slowness,
         )
 
+    def _devices_left(self, worker: Worker) -> int:
+        """Return the accelerators left over; a full worker is best.
+
+        Gangs need whole workers, so single devices are taken where others
+        are in use already.
+        """
+        if not self._need.accelerators:
+            return 0
+        free = self._free[worker.entry.id]
+        return free.accelerators - self._need.accelerators
+
     def _rest(self, worker: Worker) -> float:
         """Return how uneven and large the worker's rest would be."""
         whole = worker.entry.capacity
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -12,9 +12,8 @@
 # A worker's steady clock may be this much slow, so its leases last longer.
 _CLOCK_SLACK = 1.03
 _LEASE_MARGIN_S = 0.3
-# So many runs that fail in a row, none done between, make a worker suspect.
-_SUSPECT_FAILURES = 3
-_PROBATION_S = 4.0
+# Estimates scatter, so one run moves what is known of a speed by so much.
+_LEARN_SHARE = 0.1
 
 
 class Holding(msgspec.Struct, frozen=True, kw_only=True):
@@ -47,6 +46,7 @@
     suspect_until: float = 0.0
     retired: bool = False
     strays: int = 0
+    probation_s: float = 0.0
 
     @property
     def free(self) -> Resources:
@@ -113,16 +113,16 @@
         """Tell whether every lease that was given has ended for certain."""
         return now > self.ordered_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
 
-    def note_failure(self, now: float) -> None:
-        """Count a run that failed; too many in a row put it on probation."""
-        self.failures += 1
-        if self.failures >= _SUSPECT_FAILURES:
-            self.suspect_until = now + _PROBATION_S
-            self.failures = _SUSPECT_FAILURES - 1
+    def learn_speed(self, worked_s: float, step: Step) -> None:
+        """Learn from a run that is done how slow the worker is."""
+        if step.estimate_s > 0 and not step.fills:
+            ratio = min(max(worked_s / step.estimate_s, 0.3), 4.0)
+            self.slowness += _LEARN_SHARE * (ratio - self.slowness)
 
     def note_success(self) -> None:
         """Clear the record of failures."""
         self.failures = 0
+        self.probation_s = 0.0
 
 
 def charge(step: Step) -> Resources:
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -12,6 +12,7 @@
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.journal import OwnershipLostError
 from cyclamentrack.jobs.ports import StartAnswer, StartOrder
+from cyclamentrack.jobs.sickness import suspect
 
 if TYPE_CHECKING:
     from cyclamentrack.jobs.owner import SliceOwner
@@ -115,7 +116,7 @@
             worker.free,
         )
         if answer is StartAnswer.BUSY:
-            worker.note_failure(now)
+            suspect(worker, now)
         if doubtful and answer is not StartAnswer.OTHER_LIFE:
             self._owner.stop_run(placement)
         else:
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -0,0 +1,57 @@
+"""Whose turn it is when more is ready than fits.
+
+Queues of priority 0 come first. Among the others the job that must start
+soonest to end within its objective is next, whatever its queue, so that no
+queue starves behind another; jobs that can't make it any more follow, since
+they earn a fifth, and last those that earn nothing. This answers loads in
+which bursts of large jobs meet a steady flow.
+"""
+
+import enum
+
+import msgspec
+
+from cyclamentrack.jobs.book import JobRun, StepRun
+
+# An end within three times the objective still earns a part.
+_LATE_FACTOR = 3.0
+
+
+class Prospect(enum.IntEnum):
+    """What a job can still earn if it starts now."""
+
+    IN_TIME = 0
+    LATE = 1
+    NOTHING = 2
+
+
+class Turn(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """Sort key of a step that is ready; the smallest is next."""
+
+    after_urgent: bool
+    prospect: int
+    latest_start: float
+    job: str
+
+
+def prospect(entry: JobRun, *, latest_start: float, now: float) -> Prospect:
+    """Tell what a job can still earn."""
+    if now <= latest_start:
+        return Prospect.IN_TIME
+    allowed = entry.due_by - entry.arrived_at
+    if now <= latest_start + (_LATE_FACTOR - 1.0) * allowed:
+        return Prospect.LATE
+    return Prospect.NOTHING
+
+
+def turn(entry: JobRun, step: StepRun, now: float) -> Turn:
+    """Return when it is a step's turn."""
+    latest = entry.due_by - entry.tails[step.name.step]
+    if step.step.lasting:
+        latest = step.opened_at
+    return Turn(
+        entry.queue.priority > 0,
+        prospect(entry, latest_start=latest, now=now),
+        latest,
+        entry.job.id,
+    )
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -70,6 +70,7 @@
     pool_of_part,
     step_key,
 )
+from cyclamentrack.jobs.sickness import suspect
 from cyclamentrack.jobs.watch import WorkerWatch
 
 _log = logging.getLogger(__name__)
@@ -180,7 +181,7 @@
         self._log_end(worker, report, task)
         current = self._clear(task, worker, report.run)
         if report.end is End.DONE:
-            self._task_done(step, task, worker)
+            self._task_done(step, task, worker, current)
         elif current is not None:
             self._run_failed(step, task, worker, report)
         self.keep_step(step)
@@ -224,9 +225,16 @@
         return placement
 
     def _task_done(
-        self, step: StepRun, task: TaskRun, worker: Worker
+        self,
+        step: StepRun,
+        task: TaskRun,
+        worker: Worker,
+        current: Placement | None,
     ) -> None:
         worker.note_success()
+        if current is not None and current.confirmed_at:
+            worked = trio.current_time() - current.confirmed_at
+            worker.learn_speed(worked, step.step)
         finished = step.tasks if step.step.gang else [task]
         for one in finished:
             one.done = True
@@ -246,8 +254,7 @@
                 member.checkpoint = report.checkpoint
         if report.end is not End.FAILED:
             return
-        worker.note_failure(trio.current_time())
-        task.failed_on.add(worker.entry.id)
+        self._blame(worker, task)
         for member in members:
             member.failures += 1
         entry = self.book.jobs[step.name.job]
@@ -255,6 +262,27 @@
         if task.failures >= limit and not step.step.lasting:
             self.close(entry, JobState.FAILED)
 
+    def _blame(self, worker: Worker, task: TaskRun) -> None:
+        """Hold a failure against its worker, unless the task is at fault.
+
+        A task that fails on a second worker clears the first.
+        """
+        now = trio.current_time()
+        earlier = task.failed_on - {worker.entry.id}
+        for name in earlier:
+            former = self.fleet.workers.get(name)
+            if former is not None and former.failures:
+                former.failures -= 1
+        if not earlier:
+            worker.failures += 1
+            if worker.failures >= _SUSPECT_FAILURES:
+                _log.warning(
+                    'worker on probation worker=%s why=failures',
+                    worker.entry.id,
+                )
+                suspect(worker, now)
+        task.failed_on.add(worker.entry.id)
+
     def _after_end(self, step: StepRun) -> None:
         entry = self.book.jobs.get(step.name.job)
         if entry is None:
@@ -591,6 +619,8 @@
         )
 
 
+# So many runs that fail in a row, none done between, make a worker suspect.
+_SUSPECT_FAILURES = 2
 # A commit that waits for so long stops further decisions: their starts could
 # only pile up behind it.
 _ROUND_STALL_S = 0.5
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -8,11 +8,17 @@
 import trio
 
 from cyclamentrack.errors import WorkerSilentError
-from cyclamentrack.jobs.book import Phase, Placement
+from cyclamentrack.jobs.book import Phase, Placement, StepRun
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.model import TaskName, WorkerState
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
 from cyclamentrack.jobs.ports import HoldOrder, HoldReport, RunReport
+from cyclamentrack.jobs.sickness import (
+    Progress,
+    judge,
+    suspect,
+    worth_moving,
+)
 
 if TYPE_CHECKING:
     from cyclamentrack.jobs.owner import SliceOwner
@@ -103,6 +109,7 @@
             worker.greeted = True
             self._owner.wake()
         self._pace()
+        self._judge_progress(now)
         self._evacuate()
         if newest > worker.acknowledged:
             await self._acknowledge(newest)
@@ -211,6 +218,37 @@
             self._owner.run_lost(placement, why=why)
         self._worker.release_all()
 
+    def _judge_progress(self, now: float) -> None:
+        """Find out from the runs whether the worker is sick."""
+        for placement in self._placements():
+            step = self._owner.book.step_of(placement.task)
+            if step is None or placement.phase is not Phase.RUNNING:
+                continue
+            progress = judge(placement, step.step, now)
+            if progress is Progress.FINE or placement.stopping:
+                continue
+            suspect(self._worker, now)
+            still = progress is Progress.STILL
+            if still or worth_moving(placement, step.step, now):
+                self._move(placement, step, progress.value)
+
+    def _move(self, placement: Placement, step: StepRun, why: str) -> None:
+        """Stop a run, with its gang, so that it goes on elsewhere."""
+        _log.info(
+            'moving task=%s run=%d worker=%s percent=%d why=%s',
+            placement.task,
+            placement.run,
+            placement.worker,
+            placement.percent,
+            why,
+        )
+        task = self._owner.book.task(placement.task)
+        if task is not None:
+            task.failed_on.add(placement.worker)
+        members = step.placed if step.step.gang else [placement]
+        for member in members:
+            self._owner.stop_run(member)
+
     def _pace(self) -> None:
         """Slow filling runs beside serving ones that near their target."""
         readings: list[ServingReading] = []
@@ -273,13 +311,4 @@
         share = 1.0 - placement.percent / 100
         rest = step.step.estimate_s * share
         if step.step.lasting or rest > left_s:
-            _log.info(
-                'moving task=%s run=%d from leaving worker=%s rest_s=%.1f',
-                placement.task,
-                placement.run,
-                placement.worker,
-                rest,
-            )
-            members = step.placed if step.step.gang else [placement]
-            for member in members:
-                self._owner.stop_run(member)
+            self._move(placement, step, 'its worker leaves')
