Keep room for gangs and learn all good workers with the first call

Cause: a gang's calls named the one or two workers with room, mostly none of them good, at 750 ms a call; and small tasks took each piece of room first.

--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -13,12 +13,20 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Fleet, Worker, charge
-from cyclamentrack.jobs.order import turn
+from cyclamentrack.jobs.gangs import Forecast, GangPlan
+from cyclamentrack.jobs.model import TaskName
+from cyclamentrack.jobs.order import prospect_of, turn
 from cyclamentrack.jobs.permits import PermitBook
 from cyclamentrack.resources import Resources
 
 # A worker that hasn't answered for so long gets nothing new.
 _SILENCE_S = 2.6
+_NEVER = float('inf')
+# Gangs for which room is kept at a time.
+_PLANS = 2
+# Permits are renewed so long before a gang's room is expected to be free,
+# beyond the time that the decision takes.
+_PERMIT_LEAD_S = 0.35
 
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,17 +89,24 @@
 
     def decide(self, now: float) -> Round:
         """Give ready tasks to workers, and charge these for them."""
-        outcome = Round()
         usable = [
             worker
             for worker in self._fleet.workers.values()
             if worker.usable(now=now, silence_s=_SILENCE_S)
         ]
-        demand = _Demand(usable)
+        state = _RoundState(
+            now=now,
+            usable=usable,
+            demand=_Demand(usable),
+            forecast=Forecast(book=self._book, workers=usable, now=now),
+        )
         for entry, step in self._in_order(now):
-            self._place_step(entry, step, usable, now, outcome)
-            self._wish(entry, step, usable, demand, outcome)
-        return outcome
+            self._place_step(entry, step, state)
+            if step.step.gang:
+                self._plan_gang(entry, step, state)
+            else:
+                self._wish(entry, step, state)
+        return state.outcome
 
     def _in_order(self, now: float) -> list[tuple[JobRun, StepRun]]:
         ready = [
@@ -103,31 +118,21 @@
         return ready
 
     def _place_step(
-        self,
-        entry: JobRun,
-        step: StepRun,
-        usable: list[Worker],
-        now: float,
-        outcome: Round,
+        self, entry: JobRun, step: StepRun, state: '_RoundState'
     ) -> None:
-        need = charge(step.step)
-        eligible = [
-            worker
-            for worker in usable
-            if _suits(step, worker) and need.fits(worker.free)
-        ]
+        eligible = self._eligible(step, state)
         if not eligible:
             return
-        permit_of = self._permit_lookup(entry, step, now)
+        permit_of = self._permit_lookup(entry, step, state.now)
         allowed = [worker for worker in eligible if permit_of(worker) is not None]
-        tasks = step.idle
         if step.step.gang:
             chosen = _place_gang(step, allowed)
         else:
-            chosen = _place_each(step, tasks, allowed)
+            chosen = _place_each(step, step.idle, allowed)
         for task, worker in chosen:
             worker.take(task=task.name, run=task.run + 1, step=step.step)
-            outcome.assignments.append(
+            state.given.add(task.name)
+            state.outcome.assignments.append(
                 Assignment(
                     step=step,
                     task=task,
@@ -136,6 +141,98 @@
                 ),
             )
 
+    def _eligible(
+        self, step: StepRun, state: '_RoundState'
+    ) -> list[Worker]:
+        """Return the workers that have room which is kept for nobody else."""
+        need = charge(step.step)
+        return [
+            worker
+            for worker in state.usable
+            if _suits(step, worker)
+            and need.fits(worker.free)
+            and state.open_to(step, worker)
+        ]
+
+    def _plan_gang(
+        self, entry: JobRun, step: StepRun, state: '_RoundState'
+    ) -> None:
+        """Keep room for a gang that waits, and renew its permits in time."""
+        if step.tasks[0].name in state.given:
+            return
+        known = self._permits.of(step.name)
+        candidates = [
+            worker
+            for worker in state.usable
+            if worker.entry.id not in known.bad
+            and _suits(step, worker)
+            and worker.entry.id not in state.kept
+        ]
+        if known.good:
+            candidates = [
+                worker
+                for worker in candidates
+                if worker.entry.id in known.good
+            ]
+        plan = state.forecast.plan(step.step, candidates)
+        if plan is None:
+            plan = GangPlan(at=_NEVER, workers=frozenset())
+        if plan.workers and len(state.plans) < _PLANS and prospect_of(entry, step, state.now):
+            state.plans.append(plan)
+            for worker in plan.workers:
+                state.kept[worker] = plan.at
+        if entry.queue.permits is not None:
+            self._renew_for_gang(entry, step, plan, state)
+
+    def _renew_for_gang(
+        self,
+        entry: JobRun,
+        step: StepRun,
+        plan: GangPlan,
+        state: '_RoundState',
+    ) -> None:
+        """Ask for permits that will hold when the plan's moment comes."""
+        policy = entry.queue.permits
+        known = self._permits.of(step.name)
+        soon = state.now + (policy.decide_s if policy else 0) + _PERMIT_LEAD_S
+        unknown = self._unknown(step, state)
+        planned = [
+            worker
+            for worker in state.usable
+            if worker.entry.id in plan.workers
+            and not known.fresh(
+                worker.entry.id, now=state.now, life=worker.life
+            )
+        ]
+        due = plan.at <= soon and planned
+        if due or (unknown and not known.good):
+            state.outcome.wishes.append(
+                PermitWish(
+                    entry=entry,
+                    step=step,
+                    workers=_distinct([*planned, *unknown]),
+                ),
+            )
+
+    def _unknown(
+        self, step: StepRun, state: '_RoundState'
+    ) -> list[Worker]:
+        """Return workers of which it isn't known whether they may run it.
+
+        Naming one more costs little beside the call itself, so the first
+        call names all, whether they have room now or not.
+        """
+        known = self._permits.of(step.name)
+        need = charge(step.step)
+        return [
+            worker
+            for worker in state.usable
+            if worker.entry.id not in known.bad
+            and worker.entry.id not in known.good
+            and _suits(step, worker)
+            and need.fits(worker.entry.capacity)
+        ]
+
     def _permit_lookup(
         self, entry: JobRun, step: StepRun, now: float
     ) -> Callable[[Worker], str | None]:
@@ -150,38 +247,67 @@
         return lookup
 
     def _wish(
-        self,
-        entry: JobRun,
-        step: StepRun,
-        usable: list[Worker],
-        demand: _Demand,
-        outcome: Round,
+        self, entry: JobRun, step: StepRun, state: '_RoundState'
     ) -> None:
         """Ask for permits on workers that have room for what is left."""
-        placed = {
-            one.task.name.index
-            for one in outcome.assignments
-            if one.step is step
-        }
-        left = [task for task in step.idle if task.name.index not in placed]
+        left = [task for task in step.idle if task.name not in state.given]
         if entry.queue.permits is None or not left:
             return
         bad = self._permits.of(step.name).bad
         wanted = [
             worker
-            for worker in usable
+            for worker in self._eligible(step, state)
             if worker.entry.id not in bad
-            and _suits(step, worker)
-            and charge(step.step).fits(worker.free)
         ]
-        if not wanted or (step.step.gang and not _place_gang(step, wanted)):
-            return
-        if demand.admit(step, len(left)):
-            outcome.wishes.append(
-                PermitWish(entry=entry, step=step, workers=wanted),
+        if wanted and state.demand.admit(step, len(left)):
+            state.outcome.wishes.append(
+                PermitWish(
+                    entry=entry,
+                    step=step,
+                    workers=_distinct([
+                        *wanted,
+                        *self._unknown(step, state),
+                    ]),
+                ),
             )
 
 
+def _distinct(workers: list[Worker]) -> list[Worker]:
+    return list({worker.entry.id: worker for worker in workers}.values())
+
+
+class _RoundState:
+    """What one round has given away, keeps, and asks for."""
+
+    def __init__(
+        self,
+        *,
+        now: float,
+        usable: list[Worker],
+        demand: _Demand,
+        forecast: Forecast,
+    ) -> None:
+        self.now = now
+        self.usable = usable
+        self.demand = demand
+        self.forecast = forecast
+        self.outcome = Round()
+        self.given: set[TaskName] = set()
+        self.plans: list[GangPlan] = []
+        self.kept: dict[WorkerId, float] = {}
+
+    def open_to(self, step: StepRun, worker: Worker) -> bool:
+        """Tell whether a worker's room may be used by a step.
+
+        Room that is kept for a gang takes only what ends before its start.
+        """
+        until = self.kept.get(worker.entry.id)
+        if until is None:
+            return True
+        end = self.now + step.step.estimate_s * worker.slowness
+        return not step.step.lasting and end <= until
+
+
 def _suits(step: StepRun, worker: Worker) -> bool:
     spec = step.step
     if spec.requires and spec.requires not in worker.entry.labels:
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -0,0 +1,119 @@
+"""When and where a gang that finds no room now could start.
+
+Only some workers may run a gang, and it needs room on all of its workers at
+one moment. Unless that room is kept, smaller tasks take each piece as it
+becomes free and the gang starves. A plan names the workers whose room will
+be free first; until then they take only what ends before that moment.
+"""
+
+import msgspec
+
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.book import JobBook, Placement, placements
+from cyclamentrack.jobs.fleet import Worker, charge
+from cyclamentrack.jobs.model import Step
+from cyclamentrack.resources import Resources
+
+_NEVER = float('inf')
+_PERCENT = 100.0
+# Progress below this says too little about when a run will end.
+_TELLING_PERCENT = 10.0
+# A run that is past its estimate is taken to need so much of it again.
+_OVERTIME_SHARE = 0.3
+
+
+class GangPlan(msgspec.Struct, frozen=True, kw_only=True):
+    """The moment at which a gang could start, and on which workers."""
+
+    at: float
+    workers: frozenset[WorkerId]
+
+
+class _Release(msgspec.Struct, frozen=True, order=True, array_like=True):
+    at: float
+    need: Resources
+
+
+class Forecast:
+    """When the runs under way will give their room back."""
+
+    def __init__(
+        self, *, book: JobBook, workers: list[Worker], now: float
+    ) -> None:
+        """Look at all runs once."""
+        self._now = now
+        self._workers = {worker.entry.id: worker for worker in workers}
+        self._releases: dict[WorkerId, list[_Release]] = {}
+        for placement in placements(book):
+            step = book.step_of(placement.task)
+            worker = self._workers.get(placement.worker)
+            if step is not None and worker is not None:
+                end = expected_end(
+                    placement, step.step, slowness=worker.slowness, now=now
+                )
+                self._releases.setdefault(placement.worker, []).append(
+                    _Release(end, charge(step.step)),
+                )
+
+    def plan(self, step: Step, workers: list[Worker]) -> GangPlan | None:
+        """Return the earliest start of a gang on some of the workers."""
+        times = sorted(
+            (at, worker.entry.id)
+            for worker in workers
+            for at in self._slots(step, worker)
+        )
+        if len(times) < step.count:
+            return None
+        chosen = times[: step.count]
+        return GangPlan(
+            at=chosen[-1][0],
+            workers=frozenset(worker for _, worker in chosen),
+        )
+
+    def _slots(self, step: Step, worker: Worker) -> list[float]:
+        """Return when the worker has room for one member, for two, ..."""
+        need = charge(step)
+        free = worker.free
+        limit = step.max_per_worker or step.count
+        found: list[float] = []
+        at = self._now
+        releases = sorted(
+            self._releases.get(worker.entry.id, []),
+            key=lambda release: release.at,
+        )
+        while len(found) < min(step.count, limit):
+            if need.fits(free):
+                found.append(at)
+                free = _less(free, need)
+            elif releases and releases[0].at < _NEVER:
+                release = releases.pop(0)
+                at = max(at, release.at)
+                free = free.plus(release.need)
+            else:
+                break
+        return found
+
+
+def expected_end(
+    placement: Placement, step: Step, *, slowness: float, now: float
+) -> float:
+    """Return when a run will probably end, steady seconds."""
+    if step.lasting:
+        return _NEVER
+    began = placement.confirmed_at or placement.since
+    worked = now - began
+    if placement.percent >= _TELLING_PERCENT and worked > 0:
+        rest = worked * (_PERCENT - placement.percent) / placement.percent
+        return now + rest
+    expected = step.estimate_s * slowness
+    if worked > expected:
+        return now + _OVERTIME_SHARE * expected
+    return began + expected
+
+
+def _less(whole: Resources, part: Resources) -> Resources:
+    return Resources(
+        milli_cores=whole.milli_cores - part.milli_cores,
+        memory_mib=whole.memory_mib - part.memory_mib,
+        accelerators=whole.accelerators - part.accelerators,
+    )
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -44,6 +44,12 @@
     return Prospect.NOTHING
 
 
+def prospect_of(entry: JobRun, step: StepRun, now: float) -> bool:
+    """Tell whether the job can still earn its whole worth or a part."""
+    latest = entry.due_by - entry.tails[step.name.step]
+    return prospect(entry, latest_start=latest, now=now) < Prospect.NOTHING
+
+
 def turn(entry: JobRun, step: StepRun, now: float) -> Turn:
     """Return when it is a step's turn."""
     latest = entry.due_by - entry.tails[step.name.step]
