--- /dev/null
+++ b/features/steps/journal_steps.py
@@ -0,0 +1,116 @@
+"""Steps about the journal of a slice."""
+
+import trio
+from behave import given, then, when
+
+from cyclamentrack.codec import encode
+from cyclamentrack.jobs.journal import (
+    Head,
+    Journal,
+    OwnershipLostError,
+    head_key,
+)
+from cyclamentrack.jobs.ports import Batch, Committed, RowKey
+from cyclamentrack_standins.jobrows import MemoryRows
+from features.harness.loop import PausedLoop
+
+
+class _SlowClient:
+    def __init__(self, rows):
+        self._rows = rows
+
+    async def commit(self, batch):
+        await trio.sleep(1)
+        return self._rows.apply(batch)
+
+
+class _JournalWorld:
+    def __init__(self):
+        self.loop = PausedLoop(seed=1)
+        self.rows = MemoryRows()
+        self.journal = None
+        self.lost = False
+        self.kept_at = None
+        self.loop.run(self._begin)
+
+    def close(self):
+        self.loop.close()
+
+    async def _begin(self):
+        self.journal = Journal(
+            store=_SlowClient(self.rows), part='p', owner='me', version=0
+        )
+        self.loop.nursery.start_soon(self._run)
+
+    async def _run(self):
+        try:
+            await self.journal.run()
+        except OwnershipLostError:
+            self.lost = True
+
+    async def put(self, name):
+        self.journal.put(RowKey('journal', 'p', name), b'x')
+
+    async def watch(self):
+        async def wait():
+            await self.journal.flushed()
+            self.kept_at = RowKey('journal', 'p', 'b') in self.rows.rows
+
+        self.loop.nursery.start_soon(wait)
+
+
+@given('a journal whose store takes 1 second for a commit')
+def start_journal(context):
+    context.jobs = _JournalWorld()
+    context.add_cleanup(context.jobs.close)
+
+
+@when('row "a" is put, then "b" while the first commit is under way')
+def put_two(context):
+    world = context.jobs
+    world.loop.run(world.put, 'a')
+    world.loop.sleep(0.5)
+    world.loop.run(world.put, 'b')
+    world.loop.run(world.watch)
+
+
+@when('"b" is put again before that commit ends')
+def put_again(context):
+    world = context.jobs
+    world.loop.run(world.put, 'b')
+
+
+@when('row "{name}" is put')
+def put_row(context, name):
+    world = context.jobs
+    world.loop.run(world.put, name)
+
+
+@then('the wait for "b" ends only after "b" is kept')
+def check_wait(context):
+    world = context.jobs
+    world.loop.sleep(5)
+    assert world.kept_at is True, world.kept_at
+
+
+@when('another owner replaces the head row')
+def replace_head(context):
+    world = context.jobs
+
+    async def replace():
+        answer = world.rows.apply(_head_batch())
+        assert isinstance(answer, Committed)
+
+    world.loop.run(replace)
+
+
+def _head_batch():
+    body = encode(Head(owner='other', number=0))
+    return Batch(puts=((head_key('p'), body),))
+
+
+@then('the journal says that its slice is lost')
+def check_lost(context):
+    world = context.jobs
+    world.loop.sleep(3)
+    assert world.lost
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -118,9 +118,9 @@
 
     def record(self) -> bytes:
         """Return the kept form."""
-        return encode([
-            _task_row(task) for task in self.tasks if task.run or task.done
-        ])
+        return encode(
+            [_task_row(task) for task in self.tasks if task.run or task.done]
+        )
 
 
 class JobRun(msgspec.Struct, kw_only=True, eq=False):
@@ -207,7 +207,9 @@
         self.jobs[job.id] = entry
         return entry
 
-    def open_due_steps(self, entry: JobRun, *, now: float, wall_s: float) -> None:
+    def open_due_steps(
+        self, entry: JobRun, *, now: float, wall_s: float
+    ) -> None:
         """Open the steps whose turn has come."""
         if entry.state is not None:
             return
@@ -244,9 +246,7 @@
         entry.state = state
         for step in entry.steps.values():
             self.open_steps.pop(step.name, None)
-        return Closed(
-            state=state, queue=entry.job.queue, closed_at_s=wall_s
-        )
+        return Closed(state=state, queue=entry.job.queue, closed_at_s=wall_s)
 
     def drop(self, entry: JobRun) -> None:
         """Remove a job that has ended and of which nothing runs."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -173,9 +173,7 @@
                 return await self.advise(step, workers, timeout_s)
             match reply:
                 case PermitsAre(answered=True):
-                    return Permits(
-                        granted=reply.granted, valid_s=reply.valid_s
-                    )
+                    return Permits(granted=reply.granted, valid_s=reply.valid_s)
                 case _:
                     return None
 
@@ -323,9 +321,7 @@
         if claim is not None:
             self._begin(claim, lease, nursery)
 
-    def _begin(
-        self, claim: Claim, lease: Lease, nursery: trio.Nursery
-    ) -> None:
+    def _begin(self, claim: Claim, lease: Lease, nursery: trio.Nursery) -> None:
         parts = self.parts
         journal = Journal(
             store=parts.store,
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -174,9 +174,7 @@
 class LeaseKeeper:
     """Renews one slice's lease while its owner runs."""
 
-    def __init__(
-        self, *, store: RowStore, claim: Claim, lease: Lease
-    ) -> None:
+    def __init__(self, *, store: RowStore, claim: Claim, lease: Lease) -> None:
         """Renew from the version that the claim wrote."""
         self.confirmed_at = claim.claimed_at
         self._store = store
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -124,7 +124,9 @@
         if not eligible:
             return
         permit_of = self._permit_lookup(entry, step, state.now)
-        allowed = [worker for worker in eligible if permit_of(worker) is not None]
+        allowed = [
+            worker for worker in eligible if permit_of(worker) is not None
+        ]
         if step.step.gang:
             chosen = _place_gang(step, allowed)
         else:
@@ -141,9 +143,7 @@
                 ),
             )
 
-    def _eligible(
-        self, step: StepRun, state: '_RoundState'
-    ) -> list[Worker]:
+    def _eligible(self, step: StepRun, state: '_RoundState') -> list[Worker]:
         """Return the workers that have room which is kept for nobody else."""
         need = charge(step.step)
         return [
@@ -170,14 +170,16 @@
         ]
         if known.good:
             candidates = [
-                worker
-                for worker in candidates
-                if worker.entry.id in known.good
+                worker for worker in candidates if worker.entry.id in known.good
             ]
         plan = state.forecast.plan(step.step, candidates)
         if plan is None:
             plan = GangPlan(at=_NEVER, workers=frozenset())
-        if plan.workers and len(state.plans) < _PLANS and prospect_of(entry, step, state.now):
+        if (
+            plan.workers
+            and len(state.plans) < _PLANS
+            and prospect_of(entry, step, state.now)
+        ):
             state.plans.append(plan)
             for worker in plan.workers:
                 state.kept[worker] = plan.at
@@ -194,7 +196,8 @@
         """Ask for permits that will hold when the plan's moment comes."""
         policy = entry.queue.permits
         known = self._permits.of(step.name)
-        soon = state.now + (policy.decide_s if policy else 0) + _PERMIT_LEAD_S
+        decide_s = policy.decide_s if policy else 0
+        soon = state.now + decide_s + _PERMIT_LEAD_S
         unknown = self._unknown(step, state)
         planned = [
             worker
@@ -214,9 +217,7 @@
                 ),
             )
 
-    def _unknown(
-        self, step: StepRun, state: '_RoundState'
-    ) -> list[Worker]:
+    def _unknown(self, step: StepRun, state: '_RoundState') -> list[Worker]:
         """Return workers of which it isn't known whether they may run it.
 
         Naming one more costs little beside the call itself, so the first
@@ -242,13 +243,13 @@
 
         def lookup(worker: Worker) -> str | None:
             permit = known.fresh(worker.entry.id, now=now, life=worker.life)
-            return permit or None
+            if permit:
+                return permit
+            return None
 
         return lookup
 
-    def _wish(
-        self, entry: JobRun, step: StepRun, state: '_RoundState'
-    ) -> None:
+    def _wish(self, entry: JobRun, step: StepRun, state: '_RoundState') -> None:
         """Ask for permits on workers that have room for what is left."""
         left = [task for task in step.idle if task.name not in state.given]
         if entry.queue.permits is None or not left:
@@ -264,10 +265,12 @@
                 PermitWish(
                     entry=entry,
                     step=step,
-                    workers=_distinct([
-                        *wanted,
-                        *self._unknown(step, state),
-                    ]),
+                    workers=_distinct(
+                        [
+                            *wanted,
+                            *self._unknown(step, state),
+                        ]
+                    ),
                 ),
             )
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -60,16 +60,12 @@
 
     def usable(self, *, now: float, silence_s: float) -> bool:
         """Tell whether new runs may be given to the worker."""
-        return (
-            self.listed
-            and self.greeted
-            and self.life == self.entry.life
-            and not self.retired
-            and not self.strays
-            and self.entry.state is WorkerState.READY
-            and now >= self.suspect_until
-            and now - self.heard_at < silence_s
-        )
+        known = self.listed and self.greeted and not self.retired
+        current = self.life == self.entry.life and not self.strays
+        healthy = now >= self.suspect_until
+        heard = now - self.heard_at < silence_s
+        ready = self.entry.state is WorkerState.READY
+        return all((known, current, healthy, heard, ready))
 
     def take(self, *, task: TaskName, run: int, step: Step) -> None:
         """Charge a run."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -58,9 +58,7 @@
         if placement.stopping and not doubtful:
             owner.run_lost(placement, why='stopped before its start')
 
-    async def _order(
-        self, worker: Worker, placement: Placement
-    ) -> StartAnswer:
+    async def _order(self, worker: Worker, placement: Placement) -> StartAnswer:
         owner = self._owner
         task = owner.book.task(placement.task)
         if task is None or worker.life != placement.life:
@@ -130,31 +128,29 @@
             for other in step.placed:
                 self._owner.stop_run(other)
 
-    @staticmethod
-    async def stop_until_ended(
-        owner: SliceOwner, placement: Placement
-    ) -> None:
-        """Order a stop until the run's end is listed or it is lost."""
-        while _is_current(owner, placement):
-            worker = owner.fleet.workers.get(placement.worker)
-            if worker is not None and worker.life == placement.life:
-                try:
-                    await owner.orders.stop(
-                        worker=worker.entry,
-                        task=placement.task,
-                        run=placement.run,
-                        token=owner.claim.token,
-                    )
-                except WorkerSilentError:
-                    _log.info(
-                        'stop unanswered task=%s run=%d worker=%s',
-                        placement.task,
-                        placement.run,
-                        placement.worker,
-                    )
-                else:
-                    placement.stop_heard_at = trio.current_time()
-            await trio.sleep(_STOP_REPEAT_S)
+
+async def stop_until_ended(owner: SliceOwner, placement: Placement) -> None:
+    """Order a stop until the run's end is listed or it is lost."""
+    while _is_current(owner, placement):
+        worker = owner.fleet.workers.get(placement.worker)
+        if worker is not None and worker.life == placement.life:
+            try:
+                await owner.orders.stop(
+                    worker=worker.entry,
+                    task=placement.task,
+                    run=placement.run,
+                    token=owner.claim.token,
+                )
+            except WorkerSilentError:
+                _log.info(
+                    'stop unanswered task=%s run=%d worker=%s',
+                    placement.task,
+                    placement.run,
+                    placement.worker,
+                )
+            else:
+                placement.stop_heard_at = trio.current_time()
+        await trio.sleep(_STOP_REPEAT_S)
 
 
 def _is_current(owner: SliceOwner, placement: Placement) -> bool:
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -12,9 +12,8 @@
 import msgspec
 import trio
 
-from cyclamentrack.codec import decode, encode
-from cyclamentrack.errors import StoreUncertainError
-from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.codec import encode
+from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.book import (
     Closed,
     JobBook,
@@ -23,18 +22,15 @@
     Placement,
     StepRun,
     TaskRun,
-    gang_ends_whole,
-    placements,
 )
 from cyclamentrack.jobs.dispatch import Assignment, Dispatcher, Round
 from cyclamentrack.jobs.fleet import Fleet, Worker
-from cyclamentrack.jobs.journal import HEAD, Journal
-from cyclamentrack.jobs.launch import Launcher
+from cyclamentrack.jobs.intake import JobIntake
+from cyclamentrack.jobs.journal import Journal
+from cyclamentrack.jobs.launch import Launcher, stop_until_ended
 from cyclamentrack.jobs.model import (
     Configuration,
     End,
-    Job,
-    JobId,
     JobState,
     Queue,
 )
@@ -45,50 +41,32 @@
     PermitCall,
 )
 from cyclamentrack.jobs.ports import (
-    Batch,
     CellTables,
-    Changes,
     EndReport,
-    HistoryLostError,
-    Page,
     RowStore,
-    StoredRow,
-    StoreRefusedError,
     Translator,
     Tuning,
     WorkerOrders,
 )
 from cyclamentrack.jobs.records import (
-    JOBS,
-    STEPS,
     Claim,
-    all_jobs_parts,
-    cancel_key,
-    cancelled_job,
     closed_key,
-    job_key,
-    pool_of_part,
     step_key,
 )
+from cyclamentrack.jobs.roster import WorkerRoster
 from cyclamentrack.jobs.sickness import suspect
-from cyclamentrack.jobs.watch import WorkerWatch
 
 _log = logging.getLogger(__name__)
 
-# A feed's connection that has gone silent is noticed after this and the
-# adapter's slack; what callers hand in meanwhile waits so long.
-_FEED_WAIT_S = 1.0
-_FEED_RETRY_S = 0.15
 # Rounds that nothing woke: due times, permits and probations that end.
 _IDLE_ROUND_S = 0.2
 # Wakes within this time share a round.
 _ROUND_GAP_S = 0.002
-_SWEEP_S = 5.0
-# A run's worker that isn't listed at a claim may still run it for so long
-# beyond the lease: the former owner may have held it until it learnt of the
-# claim.
-_FORMER_OWNER_S = 2.0
-_CLOCK_SLACK = 1.03
+# So many runs that fail in a row, none done between, make a worker suspect.
+_SUSPECT_FAILURES = 2
+# A commit that waits for so long stops further decisions: their starts could
+# only pile up behind it.
+_ROUND_STALL_S = 0.5
 
 
 class Collaborators(msgspec.Struct, frozen=True, kw_only=True):
@@ -142,11 +120,13 @@
                 on_answer=self.wake,
             )
             launcher = Launcher(owner=self, nursery=nursery)
-            jobs_version = await self._recover()
-            nursery.start_soon(self._follow_jobs, jobs_version)
-            nursery.start_soon(self._follow_workers)
-            nursery.start_soon(self._settle_unlisted)
-            nursery.start_soon(self._sweep)
+            intake = JobIntake(owner=self, parts=self._parts)
+            roster = WorkerRoster(owner=self, parts=self._parts)
+            jobs_version = await intake.recover()
+            nursery.start_soon(intake.follow, jobs_version)
+            nursery.start_soon(roster.follow)
+            nursery.start_soon(roster.settle_unlisted)
+            nursery.start_soon(intake.sweep)
             self.recovered.set()
             await self._dispatch_rounds(permits, launcher)
 
@@ -171,6 +151,14 @@
             key = step_key(self.claim.pool, step.name)
             self.journal.put(key, step.record())
 
+    def open_due(self, entry: JobRun) -> None:
+        """Open the steps of a job whose turn has come."""
+        self.book.open_due_steps(
+            entry,
+            now=trio.current_time(),
+            wall_s=self._parts.wall_clock(),
+        )
+
     def run_ended(self, worker: Worker, report: EndReport) -> None:
         """Take in an end that a worker has listed."""
         worker.release(task=report.task, run=report.run)
@@ -211,7 +199,23 @@
         """Have a run stopped, until its end is listed."""
         if not placement.stopping:
             placement.stopping = True
-            self.nursery.start_soon(Launcher.stop_until_ended, self, placement)
+            self.nursery.start_soon(stop_until_ended, self, placement)
+
+    def close(self, entry: JobRun, state: JobState) -> None:
+        """Give a job its final state and stop what still runs."""
+        if entry.state is not None:
+            return
+        _log.info('job closed job=%s state=%s', entry.job.id, state.value)
+        closed = self.book.close(
+            entry, state=state, wall_s=self._parts.wall_clock()
+        )
+        pool = self.claim.pool
+        self.journal.put(closed_key(pool, entry.job.id), encode(closed))
+        for step in entry.steps.values():
+            self.journal.put(step_key(pool, step.name), None)
+        for placement in entry.placed:
+            self.stop_run(placement)
+        self.nursery.start_soon(self._publish, entry, closed)
 
     def _clear(
         self, task: TaskRun, worker: Worker, run: int
@@ -290,29 +294,13 @@
         if step.done:
             self.book.open_steps.pop(step.name, None)
         if entry.state is None:
-            self._open_due(entry)
+            self.open_due(entry)
             if self.book.all_done(entry):
                 self.close(entry, JobState.COMPLETED)
         elif entry.published and not entry.placed:
             self.book.drop(entry)
         self.wake()
 
-    def close(self, entry: JobRun, state: JobState) -> None:
-        """Give a job its final state and stop what still runs."""
-        if entry.state is not None:
-            return
-        _log.info('job closed job=%s state=%s', entry.job.id, state.value)
-        closed = self.book.close(
-            entry, state=state, wall_s=self._parts.wall_clock()
-        )
-        pool = self.claim.pool
-        self.journal.put(closed_key(pool, entry.job.id), encode(closed))
-        for step in entry.steps.values():
-            self.journal.put(step_key(pool, step.name), None)
-        for placement in entry.placed:
-            self.stop_run(placement)
-        self.nursery.start_soon(self._publish, entry, closed)
-
     async def _publish(self, entry: JobRun, closed: Closed) -> None:
         await self.journal.flushed()
         entry.published = True
@@ -346,8 +334,7 @@
                     step=wish.step.name,
                     policy=wish.entry.queue.permits,
                     workers={
-                        worker.entry.id: worker.life
-                        for worker in wish.workers
+                        worker.entry.id: worker.life for worker in wish.workers
                     },
                 )
                 for wish in outcome.wishes
@@ -356,7 +343,9 @@
             keep_own_short=self._has_short_permits(),
         )
         placed = [self._place(given) for given in outcome.assignments]
-        for step in {id(one.step): one.step for one in outcome.assignments}.values():
+        for step in {
+            id(one.step): one.step for one in outcome.assignments
+        }.values():
             self.keep_step(step)
         if placed:
             self.nursery.start_soon(launcher.launch, placed)
@@ -386,223 +375,10 @@
         self.book.jobs[task.name.job].begun = True
         return placement
 
-    def _open_due(self, entry: JobRun) -> None:
-        self.book.open_due_steps(
-            entry,
-            now=trio.current_time(),
-            wall_s=self._parts.wall_clock(),
-        )
-
     def _open_timed(self) -> None:
         for entry in self.book.jobs.values():
             if entry.job.timed and entry.state is None:
-                self._open_due(entry)
-
-    async def _recover(self) -> int:
-        """Read the book that earlier owners left; return its version."""
-        kept = await self._scan(STEPS, self.claim.pool)
-        for row in kept.rows:
-            if '.' not in row.key.key and row.key.key != HEAD:
-                closed = decode(row.body, Closed)
-                self.book.closed[JobId(row.key.key)] = closed
-        version = await self._read_jobs()
-        for row in kept.rows:
-            if '.' in row.key.key:
-                self._restore_step(row)
-        for entry in list(self.book.jobs.values()):
-            self._resume(entry)
-        _log.info(
-            'slice recovered pool=%s token=%d open=%d closed=%d runs=%d',
-            self.claim.pool,
-            self.claim.token,
-            len(self.book.jobs),
-            len(self.book.closed),
-            sum(1 for _ in placements(self.book)),
-        )
-        return version
-
-    def _resume(self, entry: JobRun) -> None:
-        if entry.job.id in self.book.cancels:
-            self.close(entry, JobState.CANCELLED)
-            return
-        self._open_due(entry)
-        if self.book.all_done(entry):
-            self.close(entry, JobState.COMPLETED)
-
-    async def _read_jobs(self) -> int:
-        """Read all jobs of the pool; return the oldest page's version."""
-        versions: list[int] = []
-
-        async def read_part(part: str) -> None:
-            page = await self._scan(JOBS, part)
-            versions.append(page.version)
-            for row in page.rows:
-                self._take_job(row)
-
-        async with trio.open_nursery() as nursery:
-            for part in all_jobs_parts(self.claim.pool):
-                nursery.start_soon(read_part, part)
-        return min(versions)
-
-    async def _scan(self, table: str, part: str) -> Page:
-        while True:
-            try:
-                return await self._store.scan(table=table, part=part)
-            except (StoreUncertainError, StoreRefusedError) as error:
-                _log.warning('slice %s waits: %s', self.claim.pool, error)
-                await trio.sleep(_FEED_RETRY_S)
-
-    def _restore_step(self, row: StoredRow) -> None:
-        entry = self.book.jobs.get(JobId(row.key.key.split('.')[0]))
-        if entry is None:
-            self.journal.put(row.key, None)
-            return
-        self.book.restore(entry, row.key.key, row.body, trio.current_time())
-
-    async def _follow_jobs(self, version: int) -> None:
-        while True:
-            try:
-                changes = await self._store.follow(
-                    table=JOBS, after=version, wait_s=_FEED_WAIT_S
-                )
-            except (StoreUncertainError, StoreRefusedError):
-                await trio.sleep(_FEED_RETRY_S)
-                continue
-            except HistoryLostError:
-                version = await self._read_jobs()
-                self.wake()
-                continue
-            version = changes.version
-            for row in changes.rows:
-                if pool_of_part(row.key.part) == self.claim.pool:
-                    self._take_job(row)
-            self.wake()
-
-    def _take_job(self, row: StoredRow) -> None:
-        job = cancelled_job(row.key)
-        if job is None:
-            self._admit(decode(row.body, Job))
-        else:
-            self._take_cancel(job)
-
-    def _admit(self, job: Job) -> None:
-        configuration = self._parts.configuration()
-        found = configuration and configuration.queue(job.queue)
-        queue = found or Queue(
-            name=job.queue, host='', path_prefix='', pool=job.pool
-        )
-        age = self._parts.wall_clock() - job.accepted_at_s
-        arrived = trio.current_time() - min(max(age, 0.0), _MAX_AGE_S)
-        entry = self.book.admit(job=job, queue=queue, now=arrived)
-        if entry is None:
-            return
-        _log.info(
-            'job taken in job=%s queue=%s steps=%d',
-            job.id,
-            job.queue,
-            len(job.steps),
-        )
-        if self.recovered.is_set():
-            self._resume(entry)
-
-    def _take_cancel(self, job: JobId) -> None:
-        self.book.cancels.add(job)
-        entry = self.book.jobs.get(job)
-        if entry is not None and self.recovered.is_set():
-            self.close(entry, JobState.CANCELLED)
-
-    async def _follow_workers(self) -> None:
-        table = self._parts.tables.workers
-        version: int | None = None
-        while True:
-            try:
-                if version is None:
-                    page = await self._store.scan(table=table, part='')
-                    self._reset_workers(page.rows)
-                    version = page.version
-                changes = await self._store.follow(
-                    table=table, after=version, wait_s=_FEED_WAIT_S
-                )
-            except (StoreUncertainError, StoreRefusedError):
-                await trio.sleep(_FEED_RETRY_S)
-                continue
-            except HistoryLostError:
-                version = None
-                continue
-            version = changes.version
-            self._take_workers(changes)
-            await trio.sleep(_WORKER_FEED_GAP_S)
-
-    def _reset_workers(self, rows: tuple[StoredRow, ...]) -> None:
-        present = {WorkerId(row.key.key) for row in rows}
-        for worker in self.fleet.workers:
-            if worker not in present:
-                self.fleet.lose(worker)
-        for row in rows:
-            self._take_worker(row)
-
-    def _take_workers(self, changes: Changes) -> None:
-        for key in changes.removed:
-            self.fleet.lose(WorkerId(key.key))
-        for row in changes.rows:
-            self._take_worker(row)
-        self.wake()
-
-    def _take_worker(self, row: StoredRow) -> None:
-        entry = self._parts.translator.worker(row.key.key, row.body)
-        if entry is None or entry.pool != self.claim.pool:
-            return
-        known = self.fleet.workers.get(entry.id)
-        worker = self.fleet.see(entry)
-        if worker is not known:
-            self._adopt(worker)
-
-    def _adopt(self, worker: Worker) -> None:
-        """Charge a worker's recorded runs and begin to hold it."""
-        worker.ordered_at = self.claim.claimed_at + _FORMER_OWNER_S
-        for placement in placements(self.book):
-            if placement.worker == worker.entry.id:
-                step = self.book.step_of(placement.task)
-                if step is not None:
-                    worker.take(
-                        task=placement.task,
-                        run=placement.run,
-                        step=step.step,
-                    )
-        watch = WorkerWatch(owner=self, worker=worker)
-        self.nursery.start_soon(watch.run)
-
-    async def _settle_unlisted(self) -> None:
-        """Give up runs whose worker wasn't listed since before the claim."""
-        lease = self.tuning.worker_lease_s * _CLOCK_SLACK + _FORMER_OWNER_S
-        await trio.sleep_until(self.claim.claimed_at + lease)
-        for placement in list(placements(self.book)):
-            if placement.worker not in self.fleet.workers:
-                self.run_lost(placement, why='its worker is not listed')
-
-    async def _sweep(self) -> None:
-        """Remove jobs whose state no caller may ask for any more."""
-        while True:
-            await trio.sleep(_SWEEP_S)
-            horizon = self._parts.wall_clock() - self.tuning.status_s
-            old = [
-                job
-                for job, closed in self.book.closed.items()
-                if closed.closed_at_s < horizon
-            ]
-            for job in old:
-                self.book.closed.pop(job)
-                self.book.cancels.discard(job)
-                self.journal.put(closed_key(self.claim.pool, job), None)
-                await self._remove_job(job)
-
-    async def _remove_job(self, job: JobId) -> None:
-        pool = self.claim.pool
-        rows = (job_key(pool, job), cancel_key(pool, job))
-        try:
-            await self._store.commit(Batch(removes=rows))
-        except (StoreUncertainError, StoreRefusedError) as error:
-            _log.info('job %s stays in the store: %s', job, error)
+                self.open_due(entry)
 
     def _log_end(
         self, worker: Worker, report: EndReport, task: TaskRun
@@ -617,14 +393,3 @@
             report.end.value,
             int((trio.current_time() - began) * 1000),
         )
-
-
-# So many runs that fail in a row, none done between, make a worker suspect.
-_SUSPECT_FAILURES = 2
-# A commit that waits for so long stops further decisions: their starts could
-# only pile up behind it.
-_ROUND_STALL_S = 0.5
-# Worker entries change often and are only read for state and address.
-_WORKER_FEED_GAP_S = 0.25
-# Clocks of instances differ; an older acceptance is taken for this old.
-_MAX_AGE_S = 120.0
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -112,9 +112,7 @@
         """Drop what is known of a step that has ended."""
         self._steps.pop(step, None)
 
-    def offer(
-        self, wishes: list[PermitCall], *, keep_own_short: bool
-    ) -> None:
+    def offer(self, wishes: list[PermitCall], *, keep_own_short: bool) -> None:
         """Replace the wishes by those of a new round, most urgent first."""
         self._wishes = wishes
         self._keep_own_short = keep_own_short
@@ -147,15 +145,11 @@
                 return lane
         return None
 
-    async def _ask(
-        self, wish: PermitCall, lane: str, call: LaneCall
-    ) -> None:
+    async def _ask(self, wish: PermitCall, lane: str, call: LaneCall) -> None:
         asked_at = trio.current_time()
         named = wish.named
         try:
-            answer = await call(
-                wish.step, named, wish.cost_s + _CALL_SLACK_S
-            )
+            answer = await call(wish.step, named, wish.cost_s + _CALL_SLACK_S)
         finally:
             self._busy.discard(lane)
         _log.info(
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -128,9 +128,7 @@
     async def read(self, key: RowKey) -> StoredRow | None:
         """Return one row, or ``None`` when there is none."""
 
-    async def follow(
-        self, *, table: str, after: int, wait_s: float
-    ) -> Changes:
+    async def follow(self, *, table: str, after: int, wait_s: float) -> Changes:
         """Wait for changes of a table after a version.
 
         Raises ``HistoryLostError`` when that version is too old.
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -0,0 +1,117 @@
+"""The workers of a slice as the platform lists them, each with a watch."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from cyclamentrack.errors import StoreUncertainError
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.book import placements
+from cyclamentrack.jobs.fleet import Worker
+from cyclamentrack.jobs.ports import (
+    Changes,
+    HistoryLostError,
+    StoredRow,
+    StoreRefusedError,
+)
+from cyclamentrack.jobs.watch import WorkerWatch
+
+if TYPE_CHECKING:
+    from cyclamentrack.jobs.owner import Collaborators, SliceOwner
+
+_log = logging.getLogger(__name__)
+
+# A connection that has gone silent hides a draining worker for so long.
+_FEED_WAIT_S = 1.0
+_FEED_RETRY_S = 0.15
+# Worker entries change often and are only read for state and address.
+_FEED_GAP_S = 0.25
+# A run's worker that isn't listed at a claim may still run it for so long
+# beyond the lease: the former owner may have held it until it learnt of the
+# claim.
+_FORMER_OWNER_S = 2.0
+_CLOCK_SLACK = 1.03
+
+
+class WorkerRoster:
+    """Follows the platform's list and begins a watch for each worker."""
+
+    def __init__(self, *, owner: SliceOwner, parts: Collaborators) -> None:
+        """Follow nothing before ``follow``."""
+        self._owner = owner
+        self._parts = parts
+        self._store = parts.store
+
+    async def follow(self) -> None:
+        """Follow the list until cancelled."""
+        table = self._parts.tables.workers
+        version: int | None = None
+        while True:
+            try:
+                if version is None:
+                    page = await self._store.scan(table=table, part='')
+                    self._reset_workers(page.rows)
+                    version = page.version
+                changes = await self._store.follow(
+                    table=table, after=version, wait_s=_FEED_WAIT_S
+                )
+            except (StoreUncertainError, StoreRefusedError):
+                await trio.sleep(_FEED_RETRY_S)
+                continue
+            except HistoryLostError:
+                version = None
+                continue
+            version = changes.version
+            self._take_workers(changes)
+            await trio.sleep(_FEED_GAP_S)
+
+    async def settle_unlisted(self) -> None:
+        """Give up runs whose worker wasn't listed since before the claim."""
+        lease = self._owner.tuning.worker_lease_s * _CLOCK_SLACK
+        settled_at = self._owner.claim.claimed_at + lease + _FORMER_OWNER_S
+        await trio.sleep_until(settled_at)
+        for placement in list(placements(self._owner.book)):
+            if placement.worker not in self._owner.fleet.workers:
+                self._owner.run_lost(placement, why='its worker is not listed')
+
+    def _reset_workers(self, rows: tuple[StoredRow, ...]) -> None:
+        present = {WorkerId(row.key.key) for row in rows}
+        for worker in self._owner.fleet.workers:
+            if worker not in present:
+                self._owner.fleet.lose(worker)
+        for row in rows:
+            self._take_worker(row)
+
+    def _take_workers(self, changes: Changes) -> None:
+        for key in changes.removed:
+            self._owner.fleet.lose(WorkerId(key.key))
+        for row in changes.rows:
+            self._take_worker(row)
+        self._owner.wake()
+
+    def _take_worker(self, row: StoredRow) -> None:
+        entry = self._parts.translator.worker(row.key.key, row.body)
+        if entry is None or entry.pool != self._owner.claim.pool:
+            return
+        known = self._owner.fleet.workers.get(entry.id)
+        worker = self._owner.fleet.see(entry)
+        if worker is not known:
+            self._adopt(worker)
+
+    def _adopt(self, worker: Worker) -> None:
+        """Charge a worker's recorded runs and begin to hold it."""
+        worker.ordered_at = self._owner.claim.claimed_at + _FORMER_OWNER_S
+        for placement in placements(self._owner.book):
+            if placement.worker == worker.entry.id:
+                step = self._owner.book.step_of(placement.task)
+                if step is not None:
+                    worker.take(
+                        task=placement.task,
+                        run=placement.run,
+                        step=step.step,
+                    )
+        watch = WorkerWatch(owner=self._owner, worker=worker)
+        self._owner.nursery.start_soon(watch.run)
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -222,9 +222,7 @@
                     return Kept(kept)
         return Kept.REFUSED
 
-    async def _ask_owner(
-        self, pool: PoolName, job: JobId
-    ) -> JobState | None:
+    async def _ask_owner(self, pool: PoolName, job: JobId) -> JobState | None:
         address = self._cell.owner_address(pool)
         if address is None:
             return None
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -222,15 +222,21 @@
         """Find out from the runs whether the worker is sick."""
         for placement in self._placements():
             step = self._owner.book.step_of(placement.task)
-            if step is None or placement.phase is not Phase.RUNNING:
-                continue
-            progress = judge(placement, step.step, now)
-            if progress is Progress.FINE or placement.stopping:
+            if step is None or placement.stopping:
                 continue
-            suspect(self._worker, now)
-            still = progress is Progress.STILL
-            if still or worth_moving(placement, step.step, now):
-                self._move(placement, step, progress.value)
+            if placement.phase is Phase.RUNNING:
+                self._judge_run(placement, step, now)
+
+    def _judge_run(
+        self, placement: Placement, step: StepRun, now: float
+    ) -> None:
+        progress = judge(placement, step.step, now)
+        if progress is Progress.FINE:
+            return
+        suspect(self._worker, now)
+        still = progress is Progress.STILL
+        if still or worth_moving(placement, step.step, now):
+            self._move(placement, step, progress.value)
 
     def _move(self, placement: Placement, step: StepRun, why: str) -> None:
         """Stop a run, with its gang, so that it goes on elsewhere."""
@@ -260,12 +266,12 @@
             if step.step.fills:
                 fillers.append(placement)
             elif step.step.serving_target_ms > 0:
-                readings.append(
-                    ServingReading(
-                        tail_ms=placement.reading,
-                        target_ms=step.step.serving_target_ms,
-                    ),
-                )
+                readings.append(_reading(placement, step))
+        self._set_pace(fillers, readings)
+
+    def _set_pace(
+        self, fillers: list[Placement], readings: list[ServingReading]
+    ) -> None:
         for placement in fillers:
             wanted = next_pace(placement.pace, readings)
             if wanted != placement.pace:
@@ -312,3 +318,9 @@
         rest = step.step.estimate_s * share
         if step.step.lasting or rest > left_s:
             self._move(placement, step, 'its worker leaves')
+
+
+def _reading(placement: Placement, step: StepRun) -> ServingReading:
+    return ServingReading(
+        tail_ms=placement.reading, target_ms=step.step.serving_target_ms
+    )
