--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -361,6 +361,8 @@
                 owner.claim.token,
                 lost.exceptions[0],
             )
+        except* Exception:
+            _log.exception('slice dropped by an error pool=%s', pool)
         finally:
             self._lost_at[pool] = trio.current_time()
             if self.owners.get(pool) is owner:
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -14,6 +14,7 @@
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Fleet, Worker, charge
 from cyclamentrack.jobs.gangs import Forecast, GangPlan
+from cyclamentrack.jobs.headroom import Headroom
 from cyclamentrack.jobs.model import TaskName
 from cyclamentrack.jobs.order import prospect_of, turn
 from cyclamentrack.jobs.permits import PermitBook
@@ -80,9 +81,15 @@
     """Decides rounds of placements for one slice."""
 
     def __init__(
-        self, *, book: JobBook, fleet: Fleet, permits: PermitBook
+        self,
+        *,
+        book: JobBook,
+        fleet: Fleet,
+        permits: PermitBook,
+        urgent_queues: Callable[[], bool],
     ) -> None:
         """Decide over the book's open steps and the fleet's rooms."""
+        self._urgent_queues = urgent_queues
         self._book = book
         self._fleet = fleet
         self._permits = permits
@@ -99,6 +106,7 @@
             usable=usable,
             demand=_Demand(usable),
             forecast=Forecast(book=self._book, workers=usable, now=now),
+            headroom=_headroom(usable, urgent_queues=self._urgent_queues()),
         )
         for entry, step in self._in_order(now):
             self._place_step(entry, step, state)
@@ -130,8 +138,10 @@
         if step.step.gang:
             chosen = _place_gang(step, allowed)
         else:
-            chosen = _place_each(step, step.idle, allowed)
+            tasks = self._tasks_in_turn(entry, step, state)
+            chosen = _place_each(step, tasks, allowed)
         for task, worker in chosen:
+            state.headroom.take(charge(step.step).milli_cores)
             worker.take(task=task.name, run=task.run + 1, step=step.step)
             state.given.add(task.name)
             state.outcome.assignments.append(
@@ -143,6 +153,21 @@
                 ),
             )
 
+    def _tasks_in_turn(
+        self, entry: JobRun, step: StepRun, state: '_RoundState'
+    ) -> list[TaskRun]:
+        """Return the tasks that may be placed beside urgent queues' room."""
+        tasks = step.idle
+        if entry.queue.priority == 0 or step.step.lasting:
+            return tasks
+        count = state.headroom.allowed(
+            wanted=len(tasks),
+            need_milli=charge(step.step).milli_cores,
+            latest_start=entry.due_by - entry.tails[step.name.step],
+            now=state.now,
+        )
+        return tasks[:count]
+
     def _eligible(self, step: StepRun, state: '_RoundState') -> list[Worker]:
         """Return the workers that have room which is kept for nobody else."""
         need = charge(step.step)
@@ -251,7 +276,11 @@
 
     def _wish(self, entry: JobRun, step: StepRun, state: '_RoundState') -> None:
         """Ask for permits on workers that have room for what is left."""
-        left = [task for task in step.idle if task.name not in state.given]
+        left = [
+            task
+            for task in self._tasks_in_turn(entry, step, state)
+            if task.name not in state.given
+        ]
         if entry.queue.permits is None or not left:
             return
         bad = self._permits.of(step.name).bad
@@ -275,6 +304,14 @@
             )
 
 
+def _headroom(usable: list[Worker], *, urgent_queues: bool) -> Headroom:
+    return Headroom(
+        whole_milli=sum(one.entry.capacity.milli_cores for one in usable),
+        free_milli=sum(one.free.milli_cores for one in usable),
+        urgent_queues=urgent_queues,
+    )
+
+
 def _distinct(workers: list[Worker]) -> list[Worker]:
     return list({worker.entry.id: worker for worker in workers}.values())
 
@@ -289,7 +326,9 @@
         usable: list[Worker],
         demand: _Demand,
         forecast: Forecast,
+        headroom: Headroom,
     ) -> None:
+        self.headroom = headroom
         self.now = now
         self.usable = usable
         self.demand = demand
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -312,7 +312,10 @@
         self, permits: PermitBook, launcher: Launcher
     ) -> None:
         dispatcher = Dispatcher(
-            book=self.book, fleet=self.fleet, permits=permits
+            book=self.book,
+            fleet=self.fleet,
+            permits=permits,
+            urgent_queues=self._has_urgent_queues,
         )
         while True:
             with trio.move_on_after(_IDLE_ROUND_S):
@@ -350,6 +353,13 @@
         if placed:
             self.nursery.start_soon(launcher.launch, placed)
 
+    def _has_urgent_queues(self) -> bool:
+        configuration = self._parts.configuration()
+        return configuration is not None and any(
+            queue.pool == self.claim.pool and queue.priority == 0
+            for queue in configuration.queues
+        )
+
     def _has_short_permits(self) -> bool:
         configuration = self._parts.configuration()
         return configuration is not None and any(
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -29,6 +29,9 @@
 # A lane has one call at a time, so an answer is this late only if it is lost.
 _CALL_SLACK_S = 0.6
 _RETRY_PAUSE_S = 0.3
+# A step that no worker may run is asked for again after this, since workers
+# come and go.
+_NONE_GOOD_PAUSE_S = 8.0
 
 LaneCall = Callable[
     [StepName, Sequence[WorkerId], float],
@@ -182,3 +185,6 @@
                 wish.workers.get(worker, 0),
             )
         known.bad.update(set(named) - set(answer.granted))
+        if not known.good:
+            known.bad.clear()
+            known.not_before = now + _NONE_GOOD_PAUSE_S
