Test the adapter on real sockets; refuse jobs that no worker could hold

Cause: a job larger than any worker was kept and waited for ever. The owner publishes the shapes of its workers with its lease, so every node can tell.

--- a/features/harness/asgi.py
+++ b/features/harness/asgi.py
@@ -19,7 +19,11 @@
 
 
 async def call_app(
-    app: ASGIApp, method: str, target: str, body: bytes = b''
+    app: ASGIApp,
+    method: str,
+    target: str,
+    body: bytes = b'',
+    host: str = '127.0.0.1',
 ) -> Reply:
     """Send one request to an application and return its whole reply."""
     path, _, query = target.partition('?')
@@ -42,7 +46,10 @@
         'root_path': '',
         'scheme': 'http',
         'query_string': query.encode(),
-        'headers': [(b'content-type', b'application/json')],
+        'headers': [
+            (b'content-type', b'application/json'),
+            (b'host', host.encode()),
+        ],
         'server': ('127.0.0.1', 80),
         'client': ('127.0.0.1', 1),
     }
--- /dev/null
+++ b/features/harness/wire.py
@@ -0,0 +1,87 @@
+"""A server on a real socket that speaks canned answers, and records calls."""
+
+import json
+import threading
+
+import trio
+
+_READ_BYTES = 65536
+
+
+class WireServer:
+    """Answers each path with what a test has set for it.
+
+    An answer of ``None`` closes the connection without a word, and one of
+    ``'silent'`` never comes.
+    """
+
+    def __init__(self):
+        self.answers = {}
+        self.calls = []
+        self.address = ''
+        self._started = threading.Event()
+        self._token = None
+        self._scope = None
+        self._thread = threading.Thread(target=self._main, daemon=True)
+        self._thread.start()
+        self._started.wait()
+
+    def close(self):
+        trio.from_thread.run_sync(self._scope.cancel, trio_token=self._token)
+        self._thread.join()
+
+    def _main(self):
+        trio.run(self._serve)
+
+    async def _serve(self):
+        self._token = trio.lowlevel.current_trio_token()
+        async with trio.open_nursery() as nursery:
+            self._scope = nursery.cancel_scope
+            listeners = await trio.open_tcp_listeners(0, host='127.0.0.1')
+            port = listeners[0].socket.getsockname()[1]
+            self.address = f'127.0.0.1:{port}'
+            self._started.set()
+            await trio.serve_listeners(self._answer_all, listeners)
+
+    async def _answer_all(self, stream):
+        buffer = b''
+        while True:
+            found = await self._read_request(stream, buffer)
+            if found is None:
+                return
+            head, body, buffer = found
+            target = head.split(b'\r\n')[0].split(b' ')[1].decode()
+            path = target.partition('?')[0]
+            self.calls.append((target, json.loads(body or b'null'), head))
+            answer = self.answers.get(path, (404, {}))
+            if answer == 'silent':
+                await trio.sleep_forever()
+            if answer is None:
+                await stream.aclose()
+                return
+            await stream.send_all(_response(*answer))
+
+    async def _read_request(self, stream, buffer):
+        while b'\r\n\r\n' not in buffer:
+            chunk = await stream.receive_some(_READ_BYTES)
+            if not chunk:
+                return None
+            buffer += chunk
+        head, _, rest = buffer.partition(b'\r\n\r\n')
+        length = 0
+        for line in head.split(b'\r\n')[1:]:
+            name, _, text = line.partition(b':')
+            if name.lower() == b'content-length':
+                length = int(text)
+        while len(rest) < length:
+            rest += await stream.receive_some(_READ_BYTES)
+        return head, rest[:length], rest[length:]
+
+
+def _response(status, body):
+    payload = json.dumps(body).encode()
+    head = (
+        f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
+        f'Content-Length: {len(payload)}\r\n\r\n'
+    )
+    return head.encode() + payload
--- /dev/null
+++ b/features/platform/adapter.feature
@@ -0,0 +1,85 @@
+Feature: The adapter speaks the platform's protocol on real sockets
+
+  Scenario Outline: A start that is answered <status> <reason> means <answer>
+    Given a platform that answers "/-/run-start" with <status> and reason "<reason>"
+    When a run is started
+    Then the start's answer is "<answer>"
+    And the call named the worker's id and the first try's lease
+
+    Examples:
+      | status | reason | answer     |
+      | 200    |        | started    |
+      | 409    | fence  | fence      |
+      | 409    | old    | old        |
+      | 409    | late   | late       |
+      | 409    | room   | room       |
+      | 409    | ticket | ticket     |
+      | 421    |        | other life |
+      | 429    |        | busy       |
+      | 503    |        | busy       |
+      | 400    |        | bad        |
+
+  Scenario: A start whose connection is closed may have been carried out
+    Given a platform that closes the connection on "/-/run-start"
+    When a run is started
+    Then the start's answer is "silent"
+
+  Scenario: A start that is never answered may have been carried out
+    Given a platform that never answers "/-/run-start"
+    When a run is started
+    Then the start's answer is "silent"
+
+  Scenario: A worker's lists are read, and rows that make no sense skipped
+    Given a platform whose worker lists a run, an end and junk
+    When the worker is held
+    Then the report has 1 run and 1 end
+
+  Scenario: A hold refused for its token means that a newer owner is there
+    Given a platform that answers "/-/hold" with 409 and reason "fence"
+    When the worker is held
+    Then the hold ends with "OrderFencedError"
+
+  Scenario Outline: A store that answers <status> has done <what>
+    Given a platform that answers "/-/rows-tx" with <status> and reason ""
+    When a row is written
+    Then the write ends with "<error>"
+
+    Examples:
+      | status | what    | error               |
+      | 429    | nothing | StoreRefusedError   |
+      | 503    | nothing | StoreRefusedError   |
+      | 500    | unknown | StoreUncertainError |
+
+  Scenario: A write whose connection is closed is uncertain
+    Given a platform that closes the connection on "/-/rows-tx"
+    When a row is written
+    Then the write ends with "StoreUncertainError"
+
+  Scenario: A condition that does not hold returns what stands there
+    Given a platform whose store holds row "k" at version 7 against the write
+    When a row is written
+    Then the write meets version 7
+
+  Scenario: A feed that is too old says so
+    Given a platform that answers "/-/rows-feed" with 410 and reason ""
+    When a feed is followed
+    Then the feed ends with "HistoryLostError"
+
+  Scenario: Junk of other writers is skipped
+    Then these worker entries are skipped:
+      | entry                                                       |
+      | not json                                                    |
+      | {}                                                          |
+      | {"Service":"s","Address":"a","State":"gone","Capacity":{"Cpu":1,"MemMb":1}} |
+      | {"Service":"s","Address":1,"State":"ready","Capacity":{"Cpu":1,"MemMb":1}}  |
+    And a configuration of "[]" is skipped
+
+  Scenario Outline: Settings with <fault> are refused
+    When settings with <fault> are read
+    Then the error names "<key>"
+
+    Examples:
+      | fault          | key            |
+      | no address     | platform       |
+      | a text as port | PortRange      |
+      | no file        | can not be read |
--- /dev/null
+++ b/features/steps/adapter_steps.py
@@ -0,0 +1,225 @@
+"""Steps about the adapter, against canned answers on a real socket."""
+
+import base64
+import json
+import tempfile
+from pathlib import Path
+
+import msgspec
+import trio
+from behave import given, then, when
+from returns.result import Failure
+
+from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.model import (
+    JobId,
+    TaskName,
+    Token,
+    WorkerEntry,
+    WorkerState,
+)
+from cyclamentrack.jobs.ports import (
+    Batch,
+    Conflict,
+    Expect,
+    HoldOrder,
+    RowKey,
+    StartOrder,
+)
+from cyclamentrack.resources import Resources
+from cyclamentrack_platform.entries import PlatformEntries
+from cyclamentrack_platform.settings import load_boot
+from cyclamentrack_platform.store import PlatformRows
+from cyclamentrack_platform.workers import PlatformWorkers
+from features.harness.wire import WireServer
+
+_LEASE_MS = 4321
+_KEY = RowKey('t', 'p', 'k')
+
+
+def _server(context):
+    if not hasattr(context, 'wire'):
+        context.wire = WireServer()
+        context.add_cleanup(context.wire.close)
+    return context.wire
+
+
+@given('a platform that answers "{path}" with {status:d} and reason "{reason}"')
+@given('a platform that answers "{path}" with {status:d} and reason ""')
+def set_answer(context, path, status, reason=''):
+    body = {'ClockMs': 5, 'Reason': reason, 'Ver': 3}
+    _server(context).answers[path] = (status, body)
+
+
+@given('a platform that closes the connection on "{path}"')
+def set_closed(context, path):
+    _server(context).answers[path] = None
+
+
+@given('a platform that never answers "{path}"')
+def set_silent(context, path):
+    _server(context).answers[path] = 'silent'
+
+
+@given('a platform whose worker lists a run, an end and junk')
+def set_lists(context):
+    body = {
+        'ClockMs': 5,
+        'born': 9,
+        'Running': [['00000000000000aa.0.1.2', 3, 'cp', 40, 12], ['junk']],
+        'Finished': [[1, '00000000000000aa.0.0.0', 1, 'done', ''], [2]],
+    }
+    _server(context).answers['/-/hold'] = (200, body)
+
+
+@given('a platform whose store holds row "k" at version 7 against the write')
+def set_conflict(context):
+    value = base64.b64encode(b'x').decode()
+    row = {'Table': 't', 'part': 'p', 'Key': 'k', 'Value': value, 'Ver': 7}
+    answer = (412, {'rows': [row], 'Ver': 9})
+    _server(context).answers['/-/rows-tx'] = answer
+
+
+def _worker(context):
+    return WorkerEntry(
+        id=WorkerId('i-1'),
+        pool=PoolName('pool'),
+        address=_server(context).address,
+        zone='z',
+        capacity=Resources(milli_cores=1, memory_mib=1),
+        labels=(),
+        state=WorkerState.READY,
+        life=1,
+    )
+
+
+@when('a run is started')
+def start_run(context):
+    order = StartOrder(
+        task=TaskName(JobId('00000000000000aa'), 0, 1, 2),
+        run=3,
+        payload='x',
+        token=Token(7),
+        lease_until_ms=_LEASE_MS,
+    )
+
+    async def start():
+        return await PlatformWorkers().start(
+            worker=_worker(context), order=order
+        )
+
+    context.answer = trio.run(start)
+
+
+@then('the start\'s answer is "{answer}"')
+def check_answer(context, answer):
+    assert context.answer.value == answer, context.answer
+
+
+@then("the call named the worker's id and the first try's lease")
+def check_call(context):
+    _, body, head = context.wire.calls[-1]
+    assert b'i-1' in head, head
+    assert body['DeadlineMs'] == _LEASE_MS
+    assert body['Task'] == '00000000000000aa.0.1.2'
+
+
+def _caught(call):
+    async def run():
+        try:
+            return await call()
+        except Exception as error:  # noqa: BLE001
+            return error
+
+    return trio.run(run)
+
+
+@when('the worker is held')
+def hold_worker(context):
+    order = HoldOrder(
+        token=Token(7), acknowledged=0, lease_until_ms=None, wait_s=0
+    )
+    context.answer = _caught(
+        lambda: PlatformWorkers().hold(worker=_worker(context), order=order),
+    )
+
+
+@then('the report has 1 run and 1 end')
+def check_report(context):
+    report = context.answer
+    assert report.life == 9
+    assert len(report.running) == 1
+    assert len(report.ended) == 1
+
+
+@when('a row is written')
+def write_row(context):
+    batch = Batch(expected=(Expect(_KEY, 1),), puts=((_KEY, b'y'),))
+    rows = PlatformRows(address=_server(context).address)
+    context.answer = _caught(lambda: rows.commit(batch))
+
+
+@when('a feed is followed')
+def follow_feed(context):
+    rows = PlatformRows(address=_server(context).address)
+    context.answer = _caught(
+        lambda: rows.follow(table='t', after=1, wait_s=0.1),
+    )
+
+
+@then('the write ends with "{error}"')
+@then('the feed ends with "{error}"')
+@then('the hold ends with "{error}"')
+def check_error(context, error):
+    assert type(context.answer).__name__ == error, context.answer
+
+
+@then('the write meets version 7')
+def check_conflict(context):
+    assert isinstance(context.answer, Conflict), context.answer
+    assert context.answer.find(_KEY).version == 7
+
+
+@then('these worker entries are skipped:')
+def check_skipped(context):
+    for row in context.table:
+        body = row['entry'].encode()
+        assert PlatformEntries().worker('i-1', body) is None, body
+
+
+@then('a configuration of "[]" is skipped')
+def check_configuration(context):
+    del context
+    assert PlatformEntries().configuration(b'[]') is None
+
+
+_SETTINGS = {
+    'Node': 'n',
+    'Ip': '10.0.0.1',
+    'Zone': 'z',
+    'Listen': {'Front': '10.0.0.1:1', 'Readiness': '10.0.0.1:2'},
+    'PortRange': [7380, 7395],
+    'platform': {'Address': '10.0.0.2:1'},
+}
+
+
+@when('settings with {fault} are read')
+def read_settings(context, fault):
+    body = json.loads(json.dumps(_SETTINGS))
+    match fault:
+        case 'no address':
+            body['platform'] = {}
+        case 'a text as port':
+            body['PortRange'] = ['a', 7395]
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / 'local.json'
+        if fault != 'no file':
+            path.write_bytes(msgspec.json.encode(body))
+        context.answer = load_boot(str(path))
+
+
+@then('the error names "{key}"')
+def check_settings(context, key):
+    assert isinstance(context.answer, Failure), context.answer
+    message = str(context.answer.failure())
+    assert key in message, message
--- /dev/null
+++ b/features/steps/caller_steps.py
@@ -0,0 +1,65 @@
+"""Steps about what callers send and get."""
+
+from behave import given, step, then
+
+from cyclamentrack_platform.front import Front
+from features.harness.asgi import call_app
+
+
+@given("a callers' front on its first node")
+def start_front(context):
+    world = context.jobs
+    name = next(iter(world.services))
+    context.front = Front(
+        cell=world.cells[name],
+        service=world.services[name],
+        exposition=str,
+    )
+    context.kept = _kept(context)
+
+
+def _kept(context):
+    return [key for key in context.jobs.rows.rows if key.table == 'jobs']
+
+
+def _send(context, method, target, body):
+    context.reply = context.jobs.loop.run(
+        call_app, context.front.callers, method, target, body, 'h'
+    )
+
+
+@step('a caller sends {method} "{target}" with body {body}')
+def send(context, method, target, body):
+    payload = b'' if body == '-' else body.encode()
+    _send(context, method, target, payload)
+
+
+@step('a caller hands in {size:d} bytes')
+def send_large(context, size):
+    _send(context, 'POST', '/lookups/00000000000000aa', b' ' * size)
+
+
+@then('the caller gets status {status:d}')
+def check_status(context, status):
+    assert context.reply.status == status, (
+        context.reply.status,
+        context.reply.body,
+    )
+
+
+@then('nothing more is kept')
+def check_kept(context):
+    assert _kept(context) == context.kept
+
+
+@then('each task of job "{job}" was started once')
+def check_once(context, job):
+    starts = [
+        task for _, task, _, _ in context.jobs.workers.starts if task.job == job
+    ]
+    assert len(starts) == len(set(starts)) == 2, starts
+
+
+@then('the caller is told that {count:d} wait')
+def check_count(context, count):
+    assert context.reply.json() == {'Waiting': count}
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -30,7 +30,7 @@
     StartAnswer,
     StartOrder,
 )
-from cyclamentrack.resources import NOTHING
+from cyclamentrack.resources import NOTHING, Resources
 
 _CALL_S = 0.002
 _LOST_S = 0.8
@@ -47,6 +47,11 @@
     fails: int = 0
 
 
+_USUAL = Behaviour(
+    step=Step(count=1, need=Resources(milli_cores=100, memory_mib=10)),
+)
+
+
 class MemoryRun(msgspec.Struct, kw_only=True, eq=False):
     """One run on a worker."""
 
@@ -213,7 +218,7 @@
 
     def behaviour(self, task: TaskName) -> Behaviour:
         """Return how a task behaves."""
-        return self.behaviours[task.job, task.step]
+        return self.behaviours.get((task.job, task.step), _USUAL)
 
     async def run(self) -> None:
         """Let time pass on all workers until cancelled."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -307,6 +307,7 @@
             address=self.me.address,
             number=0,
             waiting=former.lease.waiting if former else {},
+            shapes=former.lease.shapes if former else (),
         )
         try:
             claim = await claim_slice(
@@ -373,7 +374,10 @@
         while True:
             try:
                 if owner.recovered.is_set():
-                    await keeper.renew(waiting=owner.book.waiting())
+                    await keeper.renew(
+                        waiting=owner.book.waiting(),
+                        shapes=owner.fleet.shapes,
+                    )
                 else:
                     await keeper.renew(waiting=None)
             except (StoreUncertainError, StoreRefusedError) as error:
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -14,7 +14,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.journal import Head, OwnershipLostError, head_key
-from cyclamentrack.jobs.model import QueueName, Token
+from cyclamentrack.jobs.model import QueueName, Shape, Token
 from cyclamentrack.jobs.ports import (
     Batch,
     Committed,
@@ -186,6 +186,7 @@
         self,
         *,
         waiting: dict[QueueName, int] | None,
+        shapes: tuple[Shape, ...] = (),
         released: bool = False,
     ) -> None:
         """Renew once; without a count of what waits the last one stays.
@@ -198,6 +199,7 @@
             number=self._lease.number + 1,
             waiting=self._lease.waiting if waiting is None else waiting,
             released=released,
+            shapes=shapes or self._lease.shapes,
         )
         self._lease = lease
         key = lease_key(self._claim.pool)
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -5,12 +5,20 @@
 import msgspec
 
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.model import Step, TaskName, WorkerEntry, WorkerState
+from cyclamentrack.jobs.model import (
+    Shape,
+    Step,
+    TaskName,
+    WorkerEntry,
+    WorkerState,
+)
 from cyclamentrack.resources import NOTHING, Resources
 
 _MS_PER_S = 1000
 # A worker's steady clock may be this much slow, so its leases last longer.
 _CLOCK_SLACK = 1.03
+# Shapes travel with each renewal of a lease; a pool has a handful.
+_SHAPES = 64
 _LEASE_MARGIN_S = 0.3
 # Estimates scatter, so one run moves what is known of a speed by so much.
 _LEARN_SHARE = 0.1
@@ -132,13 +140,20 @@
     )
 
 
-def could_hold(step: Step, workers: Iterable[WorkerEntry]) -> bool:
-    """Tell whether some worker, were it empty, could hold one task."""
+def could_hold(step: Step, shapes: Iterable[Shape]) -> bool:
+    """Tell whether a worker of some shape, were it empty, could hold a task.
+
+    >>> from cyclamentrack.jobs.model import Shape, Step
+    >>> large = Resources(milli_cores=9000, memory_mib=1)
+    >>> small = Resources(milli_cores=4000, memory_mib=1)
+    >>> could_hold(Step(count=1, need=large), [Shape(small, ())])
+    False
+    """
     need = charge(step)
     return any(
-        need.fits(entry.capacity)
-        and (not step.requires or step.requires in entry.labels)
-        for entry in workers
+        need.fits(shape.capacity)
+        and (not step.requires or step.requires in shape.labels)
+        for shape in shapes
     )
 
 
@@ -148,6 +163,12 @@
     def __init__(self) -> None:
         """Start empty."""
         self.workers: dict[WorkerId, Worker] = {}
+        self._shapes: dict[Shape, None] = {}
+
+    @property
+    def shapes(self) -> tuple[Shape, ...]:
+        """The shapes of all workers that were ever listed."""
+        return tuple(self._shapes)
 
     def see(self, entry: WorkerEntry) -> Worker:
         """Take in a worker's entry; a known one keeps its runs."""
@@ -157,6 +178,8 @@
             self.workers[entry.id] = worker
         worker.entry = entry
         worker.listed = True
+        if len(self._shapes) < _SHAPES:
+            self._shapes[_shape(entry)] = None
         return worker
 
     def lose(self, worker: WorkerId) -> None:
@@ -164,8 +187,6 @@
         if worker in self.workers:
             self.workers[worker].listed = False
 
-    def entries(self) -> list[WorkerEntry]:
-        """Return the entries of the workers that are listed."""
-        return [
-            worker.entry for worker in self.workers.values() if worker.listed
-        ]
+
+def _shape(entry: WorkerEntry) -> Shape:
+    return Shape(entry.capacity, entry.labels)
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -181,6 +181,13 @@
         return self.labels[-1] if self.labels else ''
 
 
+class Shape(msgspec.Struct, frozen=True, array_like=True):
+    """What some worker of a pool has: its capacity and its labels."""
+
+    capacity: Resources
+    labels: tuple[str, ...]
+
+
 class TaskName(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Names one task: job, occurrence, step and index within the step."""
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from cyclamentrack.ids import PoolName
-from cyclamentrack.jobs.model import JobId, QueueName, StepName, Token
+from cyclamentrack.jobs.model import (
+    JobId,
+    QueueName,
+    Shape,
+    StepName,
+    Token,
+)
 from cyclamentrack.jobs.ports import RowKey
 
 JOBS = 'jobs'
@@ -19,7 +25,8 @@
     """Who owns a slice; renewed while its owner lives.
 
     ``released`` says that the owner has handed the slice over. ``waiting``
-    counts by queue the jobs of which no task has started.
+    counts by queue the jobs of which no task has started, and ``shapes`` are
+    those of all workers that the pool has had.
     """
 
     node: str
@@ -28,6 +35,7 @@
     number: int
     released: bool = False
     waiting: dict[QueueName, int] = msgspec.field(default_factory=dict)
+    shapes: tuple[Shape, ...] = ()
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -15,6 +15,7 @@
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.book import Closed
 from cyclamentrack.jobs.cell import JobCell
+from cyclamentrack.jobs.fleet import could_hold
 from cyclamentrack.jobs.messages import (
     AskJobState,
     AskPermits,
@@ -50,13 +51,15 @@
     """What came of a request that changes something.
 
     ``REFUSED`` means that nothing was kept nor will be; ``UNKNOWN`` that
-    nobody can tell; ``GONE`` that there is no such job.
+    nobody can tell; ``GONE`` that there is no such job; ``IMPOSSIBLE`` that
+    no worker of the pool could ever hold one of its tasks.
     """
 
     KEPT = 'kept'
     REFUSED = 'refused'
     UNKNOWN = 'unknown'
     GONE = 'gone'
+    IMPOSSIBLE = 'impossible'
 
 
 class Shown(msgspec.Struct, frozen=True, kw_only=True):
@@ -76,6 +79,8 @@
 
     async def submit(self, job: Job, *, patience_s: float) -> Kept:
         """Keep a job; one of the same id that is kept already is the same."""
+        if not self._could_run(job):
+            return Kept.IMPOSSIBLE
         key = job_key(job.pool, job.id)
         batch = Batch(
             expected=(Expect(key, 0),),
@@ -141,6 +146,14 @@
             case _:
                 return Verdict(kept=Kept.REFUSED.value)
 
+    def _could_run(self, job: Job) -> bool:
+        """Tell whether the pool has had a worker for each of the steps."""
+        seen = self._cell.board.seen.get(job.pool)
+        shapes = seen.lease.shapes if seen else ()
+        if not shapes:
+            return True
+        return all(could_hold(step, shapes) for step in job.steps)
+
     async def _keep_for_peer(self, job: Job) -> Kept:
         key = job_key(job.pool, job.id)
         batch = Batch(
