--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -24,7 +24,7 @@
 _SILENCE_S = 2.6
 _NEVER = float('inf')
 # Gangs for which room is kept at a time.
-_PLANS = 2
+_PLANS = 3
 # Permits are renewed so long before a gang's room is expected to be free,
 # beyond the time that the decision takes.
 _PERMIT_LEAD_S = 0.35
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -15,6 +15,9 @@
 
 # An end within three times the objective still earns a part.
 _LATE_FACTOR = 3.0
+# A queue of the next lower priority waits this much longer, seconds: about
+# the time in which a whole worker becomes free for a gang.
+_PRIORITY_S = 2.5
 
 
 class Prospect(enum.IntEnum):
@@ -53,11 +56,13 @@
 def turn(entry: JobRun, step: StepRun, now: float) -> Turn:
     """Return when it is a step's turn."""
     latest = entry.due_by - entry.tails[step.name.step]
+    hope = prospect(entry, latest_start=latest, now=now)
+    latest += _PRIORITY_S * entry.queue.priority
     if step.step.lasting:
         latest = step.opened_at
     return Turn(
         entry.queue.priority > 0,
-        prospect(entry, latest_start=latest, now=now),
+        hope,
         latest,
         entry.job.id,
     )
