--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -117,3 +117,9 @@
     And 3 seconds go by
     Then all of its tasks run on the worker that stays
     And the workers' record is clean
+
+  Scenario: A feed that is seconds late delays no job
+    Given the store's feeds are 4 seconds late
+    When a job of the steps "4, 2 after 0" is submitted through the last node
+    And 3 seconds go by
+    Then the job is shown as "completed" by every node
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -160,3 +160,8 @@
         if not number:
             continue
         world.add_worker(number, state=WorkerState.DRAINING)
+
+
+@given("the store's feeds are {seconds:g} seconds late")
+def delay_feeds(context, seconds):
+    _world(context).rows.feed_delay_s = seconds
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -33,6 +33,7 @@
         self.refusing: set[str] = set()
         self.lose_replies = 0
         self.late_writes = 0
+        self.feed_delay_s = 0.0
         self.commits = 0
         self.history_from = 0
         self.watch_commit: Callable[[Batch], None] | None = None
@@ -159,6 +160,7 @@
         with trio.move_on_after(wait_s):
             while not self._rows.changes(table, after).rows:
                 await self._rows.wait_for_change()
+        await trio.sleep(self._rows.feed_delay_s)
         await self._enter()
         return self._rows.changes(table, after)
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -18,7 +18,12 @@
     claim_slice,
 )
 from cyclamentrack.jobs.journal import Journal, OwnershipLostError
-from cyclamentrack.jobs.messages import AskPermits, PermitsAre
+from cyclamentrack.jobs.messages import (
+    AskPermits,
+    CancelKept,
+    JobKept,
+    PermitsAre,
+)
 from cyclamentrack.jobs.model import Configuration, StepName
 from cyclamentrack.jobs.owner import Collaborators, SliceOwner
 from cyclamentrack.jobs.permits import LaneCall
@@ -64,6 +69,7 @@
 _RETRY_S = 0.2
 _HANDOVER_S = 1.5
 _PEER_SLACK_S = 0.2
+_TELL_S = 0.5
 
 
 class CellParts(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,6 +98,7 @@
         self.members: dict[str, Member] = {}
         self.board = LeaseBoard(store=parts.store)
         self.leaving = False
+        self._nursery: trio.Nursery | None = None
         self._advising = trio.Lock()
         self._due_since: dict[PoolName, float] = {}
         self._lost_at: dict[PoolName, float] = {}
@@ -100,6 +107,7 @@
     async def run(self) -> None:
         """Follow the cell and own slices until cancelled."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self._join)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_members)
@@ -121,6 +129,20 @@
             return None
         return seen.lease.address
 
+    def tell_owner(self, pool: PoolName, message: JobKept | CancelKept) -> None:
+        """Tell the owner of a slice of something kept, without waiting."""
+        owner = self.owners.get(pool)
+        if owner is not None:
+            match message:
+                case JobKept(job=job):
+                    owner.intake.take_kept(job)
+                case CancelKept(job=job):
+                    owner.intake.take_cancel(job)
+            return
+        address = self.owner_address(pool)
+        if address is not None and self._nursery is not None:
+            self._nursery.start_soon(self._send, address, message)
+
     def peer_addresses(self) -> list[str]:
         """Return the addresses of all other members."""
         return [
@@ -179,6 +201,14 @@
 
         return call
 
+    async def _send(self, address: str, message: JobKept | CancelKept) -> None:
+        try:
+            await self.parts.peers.call(
+                address=address, message=message, timeout_s=_TELL_S
+            )
+        except PeerSilentError as error:
+            _log.info('the feed has to tell: %s', error)
+
     async def _join(self) -> None:
         key = member_key(self.me.node)
         while True:
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -96,6 +96,21 @@
                     self._take_job(row)
             self._owner.wake()
 
+    def take_kept(self, job: Job) -> None:
+        """Take in a job that a node has just kept.
+
+        The feed brings it too, but may be seconds late while the store is in
+        trouble.
+        """
+        if self._owner.recovered.is_set():
+            self._admit(job)
+            self._owner.wake()
+
+    def take_cancel(self, job: JobId) -> None:
+        """Take in a cancelling that a node has just kept."""
+        self._take_cancel(job)
+        self._owner.wake()
+
     async def sweep(self) -> None:
         """Remove jobs whose state no caller may ask for any more."""
         while True:
--- a/packages/cyclamentrack/cyclamentrack/jobs/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/messages.py
@@ -50,6 +50,19 @@
     valid_s: float = 0.0
 
 
+class JobKept(msgspec.Struct, frozen=True, kw_only=True, tag='job-kept'):
+    """Tell the owner of a slice at once of a job that was kept."""
+
+    job: Job
+
+
+class CancelKept(msgspec.Struct, frozen=True, kw_only=True, tag='stop-kept'):
+    """Tell the owner of a slice at once of a cancelling that was kept."""
+
+    pool: PoolName
+    job: JobId
+
+
 class ForwardSubmit(msgspec.Struct, frozen=True, kw_only=True, tag='fwd-job'):
     """Keep a job for a node that the store turns away."""
 
@@ -77,6 +90,8 @@
     | ShownIs
     | AskPermits
     | PermitsAre
+    | JobKept
+    | CancelKept
     | ForwardSubmit
     | ForwardCancel
     | Verdict
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -96,6 +96,7 @@
         self.tuning = parts.tuning
         self.orders = parts.orders
         self.recovered = trio.Event()
+        self.intake = JobIntake(owner=self, parts=parts)
         self._parts = parts
         self._store = parts.store
         self._wake = trio.Event()
@@ -120,7 +121,7 @@
                 on_answer=self.wake,
             )
             launcher = Launcher(owner=self, nursery=nursery)
-            intake = JobIntake(owner=self, parts=self._parts)
+            intake = self.intake
             roster = WorkerRoster(owner=self, parts=self._parts)
             jobs_version = await intake.recover()
             nursery.start_soon(intake.follow, jobs_version)
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -19,10 +19,12 @@
 from cyclamentrack.jobs.messages import (
     AskJobState,
     AskPermits,
+    CancelKept,
     ForwardCancel,
     ForwardShow,
     ForwardSubmit,
     JobCellMessage,
+    JobKept,
     JobStateIs,
     PermitsAre,
     ShownIs,
@@ -89,6 +91,8 @@
         kept = await self._keep(batch, patience_s)
         if kept is Kept.REFUSED:
             kept = await self._forward(ForwardSubmit(job=job))
+        if kept is Kept.KEPT:
+            self._cell.tell_owner(job.pool, JobKept(job=job))
         return kept
 
     async def cancel(
@@ -104,6 +108,9 @@
             kept = await self._forward(
                 ForwardCancel(pool=queue.pool, queue=queue.name, job=job),
             )
+        if kept is Kept.KEPT:
+            message = CancelKept(pool=queue.pool, job=job)
+            self._cell.tell_owner(queue.pool, message)
         return kept
 
     async def show(self, *, queue: Queue, job: JobId) -> Shown:
@@ -133,6 +140,12 @@
         match message:
             case AskJobState(pool=pool, job=job):
                 return self._tell_state(pool, job)
+            case JobKept(job=job):
+                self._tell_if_owned(job.pool, message)
+                return Verdict(kept=Kept.KEPT.value)
+            case CancelKept(pool=pool):
+                self._tell_if_owned(pool, message)
+                return Verdict(kept=Kept.KEPT.value)
             case AskPermits():
                 return await self._tell_permits(message)
             case ForwardShow(pool=pool, job=job):
@@ -146,6 +159,12 @@
             case _:
                 return Verdict(kept=Kept.REFUSED.value)
 
+    def _tell_if_owned(
+        self, pool: PoolName, message: JobKept | CancelKept
+    ) -> None:
+        if pool in self._cell.owners:
+            self._cell.tell_owner(pool, message)
+
     def _could_run(self, job: Job) -> bool:
         """Tell whether the pool has had a worker for each of the steps."""
         seen = self._cell.board.seen.get(job.pool)
