--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -13,7 +13,7 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Fleet, Worker, charge
-from cyclamentrack.jobs.gangs import Forecast, GangPlan
+from cyclamentrack.jobs.gangs import Forecast, GangPlan, together
 from cyclamentrack.jobs.headroom import Headroom
 from cyclamentrack.jobs.model import TaskName
 from cyclamentrack.jobs.order import prospect_of, turn
@@ -110,8 +110,9 @@
         )
         for entry, step in self._in_order(now):
             self._place_step(entry, step, state)
-            if step.step.gang:
-                self._plan_gang(entry, step, state)
+            count = together(step.step, usable)
+            if count:
+                self._plan_gang(entry, step, state, count)
             else:
                 self._wish(entry, step, state)
         return state.outcome
@@ -180,10 +181,10 @@
         ]
 
     def _plan_gang(
-        self, entry: JobRun, step: StepRun, state: '_RoundState'
+        self, entry: JobRun, step: StepRun, state: '_RoundState', count: int
     ) -> None:
-        """Keep room for a gang that waits, and renew its permits in time."""
-        if step.tasks[0].name in state.given:
+        """Keep room for tasks that wait, and renew their permits in time."""
+        if all(task.name in state.given for task in step.idle):
             return
         known = self._permits.of(step.name)
         candidates = [
@@ -197,7 +198,7 @@
             candidates = [
                 worker for worker in candidates if worker.entry.id in known.good
             ]
-        plan = state.forecast.plan(step.step, candidates)
+        plan = state.forecast.plan(step.step, candidates, count=count)
         if plan is None:
             plan = GangPlan(at=_NEVER, workers=frozenset())
         if (
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -1,9 +1,10 @@
-"""When and where a gang that finds no room now could start.
+"""When and where a gang or a large task that finds no room now could start.
 
-Only some workers may run a gang, and it needs room on all of its workers at
-one moment. Unless that room is kept, smaller tasks take each piece as it
-becomes free and the gang starves. A plan names the workers whose room will
-be free first; until then they take only what ends before that moment.
+Only some workers may run it, and it needs room on all of its workers at one
+moment, or much of one worker. Unless that room is kept, smaller tasks take
+each piece as it becomes free and it starves. A plan names the workers whose
+room will be free first; until then they take only what ends before that
+moment.
 """
 
 import msgspec
@@ -20,6 +21,8 @@
 _TELLING_PERCENT = 10.0
 # A run that is past its estimate is taken to need so much of it again.
 _OVERTIME_SHARE = 0.3
+# A task that takes this share of a worker seldom finds it by chance.
+_LARGE_SHARE = 0.24
 
 
 class GangPlan(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,16 +58,18 @@
                     _Release(end, charge(step.step)),
                 )
 
-    def plan(self, step: Step, workers: list[Worker]) -> GangPlan | None:
-        """Return the earliest start of a gang on some of the workers."""
+    def plan(
+        self, step: Step, workers: list[Worker], *, count: int
+    ) -> GangPlan | None:
+        """Return the earliest start of some tasks together."""
         times = sorted(
             (at, worker.entry.id)
             for worker in workers
             for at in self._slots(step, worker)
         )
-        if len(times) < step.count:
+        if len(times) < count:
             return None
-        chosen = times[: step.count]
+        chosen = times[:count]
         return GangPlan(
             at=chosen[-1][0],
             workers=frozenset(worker for _, worker in chosen),
@@ -94,6 +99,21 @@
         return found
 
 
+def together(step: Step, workers: list[Worker]) -> int:
+    """Return how many tasks of a step need room kept for them, or none.
+
+    All of a gang; of other steps one, if its tasks are large.
+    """
+    if step.gang:
+        return step.count
+    need = charge(step)
+    large = all(
+        need.dominant_share(worker.entry.capacity) >= _LARGE_SHARE
+        for worker in workers
+    )
+    return 1 if large else 0
+
+
 def expected_end(
     placement: Placement, step: Step, *, slowness: float, now: float
 ) -> float:
