Play loads against the job cell's decisions

Scenarios for headroom, gangs, workers that fail all, hopeless jobs, permit calls, pacing and order.

--- /dev/null
+++ b/features/decisions/decisions.feature
@@ -0,0 +1,55 @@
+Feature: Decisions of the job cell under the load that they answer
+
+  Scenario: Batch work leaves room for a burst of lookups
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 200 tasks of 5 seconds is submitted
+    And 2 seconds go by
+    And an urgent job of 8 tasks is submitted
+    And 0.3 seconds go by
+    Then all tasks of the last job have started
+    And the workers' record is clean
+
+  Scenario: A gang gets its room although small tasks keep coming
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 400 tasks of 1 second is submitted
+    And a gang of 3 tasks of a whole worker is submitted
+    And 6 seconds go by
+    Then all tasks of the last job have started
+    And the workers' record is clean
+
+  Scenario: A worker that fails all that it starts is left alone
+    Given a pool of 4 workers with urgent and patient queues
+    And the first worker fails all that it starts
+    When 6 urgent jobs of 4 tasks are submitted
+    And 8 seconds go by
+    Then all jobs are shown as "completed"
+    And the first worker was given 12 starts at most
+
+  Scenario: A hopeless job fails at once and is held against no worker
+    Given a pool of 4 workers with urgent and patient queues
+    When an urgent job whose tasks always fail is submitted
+    And 3 seconds go by
+    Then the job is shown as "failed" by every node
+    And no worker is on probation
+
+  Scenario: The first permit call names all workers, and renewals few
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 100 tasks of 3 seconds is submitted
+    And 8 seconds go by
+    Then the permit service was called 8 times at most
+
+  Scenario Outline: Fillers go from <pace> to <next> beside a tail of <tail> of 100 ms
+    Then the next pace from <pace> beside <tail> of 100 is <next>
+
+    Examples:
+      | pace | tail | next |
+      | 100  | 20   | 100  |
+      | 50   | 20   | 60   |
+      | 50   | 70   | 50   |
+      | 100  | 95   | 40   |
+      | 10   | 120  | 0    |
+
+  Scenario: The job that must start soonest is next, whatever its queue
+    Then a patient job that must start in 1 second goes before one with 9
+    And an urgent job goes before both
+    And a job that can no longer be in time goes last
--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -148,7 +148,7 @@
             pool=POOL,
             payload='x',
             steps=tuple(steps),
-            accepted_at_s=self.loop.run(self._now),
+            accepted_at_s=self.loop.run(self.now),
         )
         service = self.services[node or next(iter(self.services))]
 
@@ -176,7 +176,7 @@
 
         return self.loop.run(ask).state
 
-    async def _now(self):
+    async def now(self):
         return trio.current_time()
 
     async def _begin(self):
@@ -223,7 +223,9 @@
         self.loop.nursery.start_soon(run)
 
 
-def make_queue(name, *, priority=0, attempts=3, permits=None, pool=POOL):
+def make_queue(
+    name, *, priority=0, attempts=3, permits=None, pool=POOL, stretch=1.5
+):
     """Return a queue of the tests' pool."""
     policy = None
     if permits is not None:
@@ -235,17 +237,17 @@
         pool=pool,
         priority=priority,
         max_attempts=attempts,
-        stretch=1.5,
+        stretch=stretch,
         target_s=0.25,
         permits=policy,
     )
 
 
-def make_step(count=1, *, cores=1.0, **changes):
+def make_step(count=1, *, cores=1.0, estimate=1.0, **changes):
     """Return a step of small tasks."""
     return Step(
         count=count,
         need=Resources(milli_cores=int(cores * 1000), memory_mib=100),
-        estimate_s=1.0,
+        estimate_s=estimate,
         **changes,
     )
--- /dev/null
+++ b/features/steps/decision_steps.py
@@ -0,0 +1,149 @@
+"""Steps about decisions: loads are played, and what callers get is checked."""
+
+from behave import given, then, when
+
+from cyclamentrack.jobs.book import JobBook
+from cyclamentrack.jobs.model import Job, JobId, JobState, QueueName
+from cyclamentrack.jobs.order import turn
+from cyclamentrack.jobs.pacing import ServingReading, next_pace
+from features.harness.jobworld import POOL, JobWorld, make_queue, make_step
+
+
+@given('a pool of {workers:d} workers with urgent and patient queues')
+def start_pool(context, workers):
+    world = JobWorld()
+    context.jobs = world
+    context.add_cleanup(world.close)
+    context.submitted = []
+    world.configure(
+        make_queue('lookups', priority=0, permits=0.02),
+        make_queue('gangs', priority=1, permits=0.2),
+        make_queue('batch', priority=2, permits=0.2, stretch=6.0),
+    )
+    for number in range(workers):
+        world.add_worker(number)
+    for number in range(3):
+        world.start_node(f'n{number}')
+    world.loop.sleep(3)
+
+
+@given('the first worker fails all that it starts')
+def spoil_worker(context):
+    workers = context.jobs.workers.workers
+    next(iter(workers.values())).fails_all = True
+
+
+def _submit(context, *steps, **changes):
+    context.job = context.jobs.submit(*steps, **changes)[0]
+    context.submitted.append(context.job)
+
+
+@when('a patient job of {count:d} tasks of {work:g} seconds is submitted')
+@when('a patient job of {count:d} tasks of {work:g} second is submitted')
+def submit_patient(context, count, work):
+    step = make_step(count, estimate=work)
+    _submit(context, step, queue='batch', work_s=work)
+
+
+@when('an urgent job of {count:d} tasks is submitted')
+def submit_urgent(context, count):
+    _submit(context, make_step(count))
+
+
+@when('{jobs:d} urgent jobs of {count:d} tasks are submitted')
+def submit_several(context, jobs, count):
+    for _ in range(jobs):
+        _submit(context, make_step(count))
+
+
+@when('a gang of 3 tasks of a whole worker is submitted')
+def submit_large_gang(context):
+    step = make_step(3, cores=16, gang=True)
+    _submit(context, step, queue='gangs', work_s=1.0)
+
+
+@when('an urgent job whose tasks always fail is submitted')
+def submit_hopeless(context):
+    _submit(context, make_step(2), fails=99)
+
+
+@then('all tasks of the last job have started')
+def check_started(context):
+    started = {
+        task
+        for _, task, _, _ in context.jobs.workers.starts
+        if task.job == context.job
+    }
+    owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
+    entry = owner.book.jobs.get(context.job)
+    wanted = entry.job.steps[0].count if entry else len(started)
+    assert started, 'nothing started'
+    assert len(started) == wanted, (len(started), wanted)
+
+
+@then('all jobs are shown as "{state}"')
+def check_all(context, state):
+    for job in context.submitted:
+        assert context.jobs.state(job) is JobState(state), job
+
+
+@then('the first worker was given {count:d} starts at most')
+def check_given(context, count):
+    first = next(iter(context.jobs.workers.workers))
+    starts = [one for one in context.jobs.workers.starts if one[3] == first]
+    assert len(starts) <= count, len(starts)
+
+
+@then('no worker is on probation')
+def check_probation(context):
+    owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
+    now = context.jobs.loop.run(context.jobs.now)
+    for worker in owner.fleet.workers.values():
+        assert worker.suspect_until <= now, worker.entry.id
+
+
+@then('the permit service was called {count:d} times at most')
+def check_calls(context, count):
+    assert len(context.jobs.advisor.calls) <= count, context.jobs.advisor.calls
+
+
+@then('the next pace from {pace:d} beside {tail:g} of 100 is {wanted:d}')
+def check_pace(context, pace, tail, wanted):
+    del context
+    reading = ServingReading(tail_ms=tail, target_ms=100)
+    assert next_pace(pace, [reading]) == wanted
+
+
+def _turn(*, priority, slack, name):
+    queue = make_queue('q', priority=priority)
+    step = make_step(1)
+    job = Job(
+        id=JobId(name),
+        queue=QueueName('q'),
+        pool=POOL,
+        payload='',
+        steps=(step,),
+        accepted_at_s=0,
+    )
+    book = JobBook()
+    entry = book.admit(job=job, queue=queue, now=0.0)
+    entry.arrived_at += slack - (entry.due_by - entry.tails[0])
+    book.open_due_steps(entry, now=0.0, wall_s=0.0)
+    return turn(entry, entry.steps[0, 0], 0.0)
+
+
+@then('a patient job that must start in 1 second goes before one with 9')
+def check_soonest(context):
+    context.soon = _turn(priority=2, slack=1.0, name='a' * 16)
+    context.late = _turn(priority=1, slack=9.0, name='b' * 16)
+    assert context.soon < context.late
+
+
+@then('an urgent job goes before both')
+def check_urgent(context):
+    assert _turn(priority=0, slack=20.0, name='c' * 16) < context.soon
+
+
+@then('a job that can no longer be in time goes last')
+def check_last(context):
+    assert _turn(priority=1, slack=-0.1, name='d' * 16) > context.late
