--- a/features/decisions/decisions.feature
+++ b/features/decisions/decisions.feature
@@ -11,7 +11,8 @@
 
   Scenario: A gang gets its room although small tasks keep coming
     Given a pool of 4 workers with urgent and patient queues
-    When a patient job of 400 tasks of 1 second is submitted
+    When patient jobs of 150 tasks of 0.7 to 1.9 seconds are submitted
+    And 3 seconds go by
     And a gang of 3 tasks of a whole worker is submitted
     And 6 seconds go by
     Then all tasks of the last job have started
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -45,6 +45,13 @@
     _submit(context, step, queue='batch', work_s=work)
 
 
+@when('patient jobs of {count:d} tasks of 0.7 to 1.9 seconds are submitted')
+def submit_mixed(context, count):
+    for work_s in (0.7, 1.1, 1.3, 1.9):
+        step = make_step(count, estimate=work_s)
+        _submit(context, step, queue='batch', work_s=work_s)
+
+
 @when('an urgent job of {count:d} tasks is submitted')
 def submit_urgent(context, count):
     _submit(context, make_step(count))
