--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -43,3 +43,4 @@
     When a caller sends GET "/lookups/" with body -
     Then the caller gets status 200
     And the caller is told that 0 wait
+    And the metrics count 1 answers of "get_200" and their latency
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -2,6 +2,7 @@
 
 from behave import given, step, then
 
+from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import Front
 from features.harness.asgi import call_app
 
@@ -13,7 +14,7 @@
     context.front = Front(
         cell=world.cells[name],
         service=world.services[name],
-        exposition=str,
+        metrics=Metrics(),
     )
     context.kept = _kept(context)
 
@@ -47,6 +48,17 @@
     )
 
 
+@then('the metrics count {count:d} answers of "{name}" and their latency')
+def check_metrics(context, count, name):
+    reply = context.jobs.loop.run(
+        call_app, context.front.readiness, 'GET', '/metrics'
+    )
+    text = reply.body.decode()
+    assert f'cyclamentrack_answers_{name}_total {count}' in text, text
+    assert 'cyclamentrack_latency_seconds{request="get"' in text, text
+    assert 'cyclamentrack_slices_owned 1' in text, text
+
+
 @then('nothing more is kept')
 def check_kept(context):
     assert _kept(context) == context.kept
--- a/packages/cyclamentrack/cyclamentrack/metrics.py
+++ b/packages/cyclamentrack/cyclamentrack/metrics.py
@@ -25,6 +25,7 @@
         self._waits = {
             kind: HdrHistogram(1, _HIGHEST_US, _DIGITS) for kind in Kind
         }
+        self._latencies: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1) -> None:
         """Add to a counter."""
@@ -44,6 +45,14 @@
             spent = time.perf_counter() - begin
             self._stages[stage] = self._stages.get(stage, 0) + spent
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Record one latency under a name."""
+        histogram = self._latencies.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(1, _HIGHEST_US, _DIGITS)
+            self._latencies[name] = histogram
+        histogram.record_value(max(int(seconds * _US_PER_S), 1))
+
     def wait(self, kind: Kind, seconds: float) -> None:
         """Record how long work waited before it was placed."""
         micros = max(int(seconds * _US_PER_S), 1)
@@ -70,6 +79,8 @@
         )
         for kind in Kind:
             lines.extend(self._wait_lines(kind))
+        for name in sorted(self._latencies):
+            lines.extend(self._latency_lines(name))
         return ''.join(f'{line}\n' for line in lines)
 
     def _wait_lines(self, kind: Kind) -> list[str]:
@@ -82,3 +93,18 @@
         ]
         total = self._waits[kind].get_total_count()
         return [*lines, f'{name}_count{{{label}}} {total}']
+
+    def _latency_lines(self, name: str) -> list[str]:
+        histogram = self._latencies[name]
+        label = f'request="{name}"'
+        lines = [
+            f'cyclamentrack_latency_seconds{{{label},'
+            f'quantile="{percentile / 100}"}} '
+            f'{histogram.get_value_at_percentile(percentile) / _US_PER_S}'
+            for percentile in _PERCENTILES
+        ]
+        total = histogram.get_total_count()
+        return [
+            *lines,
+            f'cyclamentrack_latency_seconds_count{{{label}}} {total}',
+        ]
