--- a/spec/checks.py
+++ b/spec/checks.py
@@ -5,9 +5,11 @@
 import msgspec
 from minicheck import Protocol, check_safety
 
+from spec import jobcell
 from spec.model import Guard, Rules, State, violations
 
 _MAX_STATES = 2_000_000
+_MAX_VARIANT_STATES = 20_000
 _PROMISES = ('two places', 'run twice', 'told not run')
 
 
@@ -43,6 +45,8 @@
         for idempotent in (False, True)
     ]
     verdicts.extend(_check_variant(guard) for guard in Guard)
+    verdicts.append(_check_job_cell(without=None))
+    verdicts.extend(_check_job_cell(without=guard) for guard in jobcell.Guard)
     return verdicts
 
 
@@ -88,6 +92,50 @@
     )
 
 
+def _check_job_cell(*, without: jobcell.Guard | None) -> SpecVerdict:
+    """Check the job cell's model whole, or refute it without a guard.
+
+    Without a guard the search may be cut short: a trace that breaks a
+    promise is all that it is for.
+    """
+    guards = frozenset(() if without is None else (without,))
+    rules = jobcell.Rules(without=guards)
+
+    def keeps(promise: str, found: dict[str, object]) -> bool:
+        return promise not in jobcell.violations(jobcell.State(**found))
+
+    protocol = Protocol(
+        name='one task of a slice',
+        candidate=False,
+        fields=jobcell.State._fields,
+        initial=jobcell.State(),
+        transitions=rules.moves,
+        invariants={
+            promise: partial(keeps, promise) for promise in jobcell.PROMISES
+        },
+    )
+    limit = _MAX_STATES if without is None else _MAX_VARIANT_STATES
+    outcome = check_safety(protocol, max_states=limit)
+    found = [outcome['properties'][name] for name in jobcell.PROMISES]
+    states = outcome['reachable_states']
+    if without is None:
+        holds = all(one['holds'] is True for one in found)
+        detail = 'all hold' if holds else 'not shown'
+        return SpecVerdict(
+            name='job cell',
+            passed=holds,
+            summary=f'spec job cell: {detail}, {states} states explored',
+        )
+    refuted = any(one['holds'] is False for one in found)
+    detail = 'refuted' if refuted else 'NOT REFUTED'
+    return SpecVerdict(
+        name=f'job cell without: {without.value}',
+        passed=refuted,
+        summary=f'spec job cell without "{without.value}": {detail}, '
+        f'{states} states explored',
+    )
+
+
 def depth(rules: Rules) -> int:
     """Return the longest of the shortest ways to any reachable state."""
     level = {State()}
