Keep no room for steps that no worker may run

Cause: a step whose permit call names no good worker planned on all of them and kept their room for ever; with a few such jobs late work that could run found no room that was open to it (LOST). The scenario fails without the mend.

--- a/features/decisions/decisions.feature
+++ b/features/decisions/decisions.feature
@@ -54,3 +54,10 @@
     Then a patient job that must start in 1 second goes before one with 9
     And an urgent job goes before both
     And a job that can no longer be in time goes last
+
+  Scenario: A job that no worker may run keeps no room from others
+    Given a pool of 4 workers with urgent and patient queues
+    When 4 gangs that no worker may run are submitted
+    And a gang of 3 tasks of a whole worker is submitted
+    And 3 seconds go by
+    Then all tasks of the last job have started
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -69,6 +69,16 @@
     _submit(context, step, queue='gangs', work_s=1.0)
 
 
+@when('{count:d} gangs that no worker may run are submitted')
+def submit_unpermitted(context, count):
+    context.jobs.advisor.refuses_all = True
+    for _ in range(count):
+        step = make_step(3, cores=16, gang=True)
+        _submit(context, step, queue='gangs', work_s=1.0)
+        context.jobs.advisor.good[context.job] = set()
+    context.jobs.advisor.refuses_all = False
+
+
 @when('an urgent job whose tasks always fail is submitted')
 def submit_hopeless(context):
     _submit(context, make_step(2), fails=99)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -324,6 +324,7 @@
         """Take so long for a call; permits hold so long."""
         self.calls: list[StepName] = []
         self.good: dict[str, set[WorkerId]] = {}
+        self.refuses_all = False
         self._decide_s = decide_s
         self._valid_s = valid_s
         self._lock = trio.Lock()
@@ -337,6 +338,8 @@
                 self.calls.append(step)
                 await trio.sleep(self._decide_s)
             good = self.good.get(step.job, set(workers))
+            if self.refuses_all:
+                good = set()
             return Permits(
                 granted={
                     one: f'{one}/permit' for one in workers if one in good
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -203,6 +203,7 @@
             plan = GangPlan(at=_NEVER, workers=frozenset())
         if (
             plan.workers
+            and (known.good or entry.queue.permits is None)
             and len(state.plans) < _PLANS
             and prospect_of(entry, step, state.now)
         ):
