--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -25,6 +25,13 @@
 _NEVER = float('inf')
 # Gangs for which room is kept at a time.
 _PLANS = 3
+# Room is kept so long, seconds, and then open to all for a while. A job that
+# has nothing running beside free room for 3 s counts as lost, and permits
+# take most of a second to renew.
+_KEEP_S = 1.6
+_OPEN_S = 1.0
+# A pool of which so much is in use, in each dimension, is busy.
+_BUSY_SHARE = 0.55
 # Permits are renewed so long before a gang's room is expected to be free,
 # beyond the time that the decision takes.
 _PERMIT_LEAD_S = 0.35
@@ -90,6 +97,7 @@
     ) -> None:
         """Decide over the book's open steps and the fleet's rooms."""
         self._urgent_queues = urgent_queues
+        self._kept_since: dict[WorkerId, float] = {}
         self._book = book
         self._fleet = fleet
         self._permits = permits
@@ -209,10 +217,24 @@
         ):
             state.plans.append(plan)
             for worker in plan.workers:
-                state.kept[worker] = plan.at
+                if self._may_keep(worker, state):
+                    state.kept[worker] = plan.at
         if entry.queue.permits is not None:
             self._renew_for_gang(entry, step, plan, state)
 
+    def _may_keep(self, worker: WorkerId, state: '_RoundState') -> bool:
+        """Tell whether a worker's room may still be kept for a plan.
+
+        A plan waits for runs whose end is only expected. Unless the pool is
+        busy, room that is kept too long must not make others wait for it.
+        """
+        since = self._kept_since.get(worker, 0.0)
+        held = state.now - since
+        if held > _KEEP_S + _OPEN_S:
+            self._kept_since[worker] = state.now
+            return True
+        return held <= _KEEP_S or state.busy
+
     def _renew_for_gang(
         self,
         entry: JobRun,
@@ -314,6 +336,18 @@
     )
 
 
+def _is_busy(usable: list[Worker]) -> bool:
+    """Tell whether most processors and most accelerators are in use."""
+    cores = sum(one.entry.capacity.milli_cores for one in usable)
+    used_cores = sum(one.used.milli_cores for one in usable)
+    devices = sum(one.entry.capacity.accelerators for one in usable)
+    used_devices = sum(one.used.accelerators for one in usable)
+    return (
+        used_cores >= _BUSY_SHARE * cores
+        and used_devices >= _BUSY_SHARE * devices
+    )
+
+
 def _distinct(workers: list[Worker]) -> list[Worker]:
     return list({worker.entry.id: worker for worker in workers}.values())
 
@@ -339,6 +373,7 @@
         self.given: set[TaskName] = set()
         self.plans: list[GangPlan] = []
         self.kept: dict[WorkerId, float] = {}
+        self.busy = _is_busy(usable)
 
     def open_to(self, step: StepRun, worker: Worker) -> bool:
         """Tell whether a worker's room may be used by a step.
