Remove what nothing uses; keep a job by one function

Found by reading the whole change: gang_ends_whole, PoolNames and Tuning.cluster were never used, and a job handed in here and one forwarded by a peer built the same conditional write twice.

--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -12,7 +12,6 @@
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.model import (
-    End,
     Job,
     JobId,
     JobState,
@@ -318,11 +317,6 @@
         return run
 
 
-def gang_ends_whole(step: StepRun, end: End) -> bool:
-    """Tell whether one such end stands for all members of a gang."""
-    return step.step.gang and end is End.DONE
-
-
 def placements(book: JobBook) -> Iterator[Placement]:
     """Return every run that some worker has."""
     for entry in book.jobs.values():
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from cyclamentrack.errors import CyclamentrackError
-from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.model import (
     Configuration,
     End,
@@ -302,7 +302,3 @@
     drain_s: float
     status_s: float
     far_factor: float
-    cluster: str = ''
-
-
-PoolNames = tuple[PoolName, ...]
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -83,12 +83,7 @@
         """Keep a job; one of the same id that is kept already is the same."""
         if not self._could_run(job):
             return Kept.IMPOSSIBLE
-        key = job_key(job.pool, job.id)
-        batch = Batch(
-            expected=(Expect(key, 0),),
-            puts=((key, encode(job)),),
-        )
-        kept = await self._keep(batch, patience_s)
+        kept = await self._keep_job(job, patience_s)
         if kept is Kept.REFUSED:
             kept = await self._forward(ForwardSubmit(job=job))
         if kept is Kept.KEPT:
@@ -151,7 +146,9 @@
             case ForwardShow(pool=pool, job=job):
                 return await self._tell_shown(pool, job)
             case ForwardSubmit(job=job):
-                return Verdict(kept=(await self._keep_for_peer(job)).value)
+                return Verdict(
+                    kept=(await self._keep_job(job, _FORWARD_S)).value
+                )
             case ForwardCancel(pool=pool, job=job):
                 batch = Batch(puts=((cancel_key(pool, job), b'1'),))
                 kept = await self._keep(batch, _FORWARD_S)
@@ -173,13 +170,13 @@
             return True
         return all(could_hold(step, shapes) for step in job.steps)
 
-    async def _keep_for_peer(self, job: Job) -> Kept:
+    async def _keep_job(self, job: Job, patience_s: float) -> Kept:
         key = job_key(job.pool, job.id)
         batch = Batch(
             expected=(Expect(key, 0),),
             puts=((key, encode(job)),),
         )
-        return await self._keep(batch, _FORWARD_S)
+        return await self._keep(batch, patience_s)
 
     def _tell_state(self, pool: PoolName, job: JobId) -> JobStateIs:
         owner = self._cell.owners.get(pool)
