Find slow workers by the lag of several jobs; repeat unanswered starts in time

A look left unanswered hid a worker's ends for 2 s.

Change: two jobs whose runs lag 2.5 times behind their estimates, and most of the worker's runs with them, put it on probation within a look; after it the worker gets one run on trial. Starts are repeated after 0.25 s, and sealed by a stop after three tries. Looks wait 0.6 s, 0.25 s while orders go unanswered.

Ruled out: room (first starts were at 0.06 s) and permits (one call, 16 ms).

Three scenarios, which fail with the old constants.

--- a/features/decisions/decisions.feature
+++ b/features/decisions/decisions.feature
@@ -61,3 +61,28 @@
     And a gang of 3 tasks of a whole worker is submitted
     And 3 seconds go by
     Then all tasks of the last job have started
+
+  Scenario: A worker that has turned slow is left alone, and lookups end in time
+    Given a pool of 4 workers with urgent and patient queues
+    And the first worker has turned 6 times slow
+    When 8 urgent jobs of 4 tasks are submitted, one each 0.4 seconds
+    And 3 seconds go by
+    Then all jobs are shown as "completed"
+    And the first worker was given 8 starts at most
+
+  Scenario: A worker that is fast again is taken back
+    Given a pool of 4 workers with urgent and patient queues
+    And the first worker has turned 6 times slow
+    When 8 urgent jobs of 4 tasks are submitted, one each 0.4 seconds
+    And the first worker is fast again
+    And 12 seconds go by
+    And 20 urgent jobs of 3 tasks are submitted, one each 0.3 seconds
+    Then the first worker was given 10 starts at least
+
+  Scenario: A start that is left unanswered is repeated while its permit holds
+    Given a pool of 4 workers with urgent and patient queues
+    And every worker leaves its next start unanswered
+    When an urgent job of 4 tasks is submitted
+    And 1.5 seconds go by
+    Then all jobs are shown as "completed"
+    And the workers' record is clean
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -101,6 +101,7 @@
         payload='x',
         token=Token(7),
         lease_until_ms=_LEASE_MS,
+        answer_s=0.8,
     )
 
     async def start():
@@ -137,7 +138,11 @@
 @when('the worker is held')
 def hold_worker(context):
     order = HoldOrder(
-        token=Token(7), acknowledged=0, lease_until_ms=None, wait_s=0
+        token=Token(7),
+        acknowledged=0,
+        lease_until_ms=None,
+        wait_s=0,
+        answer_s=0.8,
     )
     context.answer = _caught(
         lambda: PlatformWorkers().hold(worker=_worker(context), order=order),
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -33,6 +33,23 @@
     next(iter(workers.values())).fails_all = True
 
 
+@given('the first worker has turned {times:g} times slow')
+def slow_worker(context, times):
+    workers = context.jobs.workers.workers
+    next(iter(workers.values())).slowness = times
+
+
+@when('the first worker is fast again')
+def mend_worker(context):
+    slow_worker(context, 1.0)
+
+
+@given('every worker leaves its next start unanswered')
+def leave_unanswered(context):
+    for worker in context.jobs.workers.workers.values():
+        worker.carry_out_late = 1
+
+
 def _submit(context, *steps, **changes):
     context.job = context.jobs.submit(*steps, **changes)[0]
     context.submitted.append(context.job)
@@ -63,6 +80,16 @@
         _submit(context, make_step(count))
 
 
+@when(
+    '{jobs:d} urgent jobs of {count:d} tasks are submitted, '
+    'one each {gap:g} seconds'
+)
+def submit_flow(context, jobs, count, gap):
+    for _ in range(jobs):
+        _submit(context, make_step(count))
+        context.jobs.loop.sleep(gap)
+
+
 @when('a gang of 3 tasks of a whole worker is submitted')
 def submit_large_gang(context):
     step = make_step(3, cores=16, gang=True)
@@ -106,11 +133,21 @@
 
 @then('the first worker was given {count:d} starts at most')
 def check_given(context, count):
-    first = next(iter(context.jobs.workers.workers))
-    starts = [one for one in context.jobs.workers.starts if one[3] == first]
+    starts = _starts_of_first(context)
     assert len(starts) <= count, len(starts)
 
 
+@then('the first worker was given {count:d} starts at least')
+def check_taken_back(context, count):
+    starts = _starts_of_first(context)
+    assert len(starts) >= count, len(starts)
+
+
+def _starts_of_first(context):
+    first = next(iter(context.jobs.workers.workers))
+    return [one for one in context.jobs.workers.starts if one[3] == first]
+
+
 @then('no worker is on probation')
 def check_probation(context):
     owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -68,6 +68,7 @@
         self.entry = entry
         self.silent = False
         self.fails_all = False
+        self.slowness = 1.0
         self.carry_out_late = 0
         self.token = 0
         self.lease_until = 0.0
@@ -156,9 +157,12 @@
         )
 
     def _percent(self, task: TaskName, run: MemoryRun, now: float) -> float:
-        work_s = self._fleet.behaviour(task).work_s
+        work_s = self._work_s(task)
         return min(100.0, 100 * (now - run.began) / work_s)
 
+    def _work_s(self, task: TaskName) -> float:
+        return self.slowness * self._fleet.behaviour(task).work_s
+
     def _end_of(
         self, key: tuple[TaskName, int], run: MemoryRun, now: float
     ) -> End | None:
@@ -169,7 +173,7 @@
             return End.STOPPED
         if self.fails_all or key[1] <= behaviour.fails:
             return End.FAILED
-        if behaviour.step.lasting or now - run.began < behaviour.work_s:
+        if behaviour.step.lasting or now - run.began < self._work_s(key[0]):
             return None
         return End.DONE
 
@@ -269,12 +273,12 @@
         await trio.sleep(_CALL_S)
         found = self._workers.workers[worker.id]
         if found.silent:
-            await trio.sleep(_LOST_S)
+            await trio.sleep(order.answer_s)
             return StartAnswer.SILENT
         if found.carry_out_late > 0:
             found.carry_out_late -= 1
             trio.lowlevel.spawn_system_task(_start_late, found, order)
-            await trio.sleep(_LOST_S)
+            await trio.sleep(order.answer_s)
             return StartAnswer.SILENT
         return found.start(order)
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -68,6 +68,7 @@
     moved_at: float = 0.0
     reading: float = 0.0
     pace: int = _PERCENT
+    resumed: bool = False
     stopping: bool = False
     stop_heard_at: float = 0.0
 
@@ -349,4 +350,5 @@
             life=row.life,
             phase=Phase.STARTING,
             since=now,
+            resumed=True,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -18,7 +18,7 @@
 from cyclamentrack.jobs.model import TaskName
 from cyclamentrack.jobs.order import prospect_of, turn
 from cyclamentrack.jobs.permits import PermitBook
-from cyclamentrack.resources import Resources
+from cyclamentrack.resources import NOTHING
 
 # A worker that hasn't answered for so long gets nothing new.
 _SILENCE_S = 2.6
@@ -461,13 +461,10 @@
 
     def take(self, worker: Worker) -> None:
         """Charge one task."""
-        left = self._free[worker.entry.id]
-        self._free[worker.entry.id] = Resources(
-            milli_cores=left.milli_cores - self._need.milli_cores,
-            memory_mib=left.memory_mib - self._need.memory_mib,
-            accelerators=left.accelerators - self._need.accelerators,
-        )
-        self._add(worker.entry.id)
+        name = worker.entry.id
+        left = self._free[name].minus(self._need)
+        self._free[name] = NOTHING if worker.on_trial else left
+        self._add(name)
 
     def _add(self, worker: WorkerId) -> None:
         self._count[worker] = self._count.get(worker, 0) + 1
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -20,6 +20,8 @@
 # Shapes travel with each renewal of a lease; a pool has a handful.
 _SHAPES = 64
 _LEASE_MARGIN_S = 0.3
+# Orders that go unanswered come in spells of several seconds.
+_TROUBLE_S = 6.0
 # Estimates scatter, so one run moves what is known of a speed by so much.
 _LEARN_SHARE = 0.1
 
@@ -55,16 +57,15 @@
     retired: bool = False
     strays: int = 0
     probation_s: float = 0.0
+    on_trial: bool = False
+    trial: tuple[TaskName, int] | None = None
 
     @property
     def free(self) -> Resources:
-        """What no run has been given."""
-        whole = self.entry.capacity
-        return Resources(
-            milli_cores=max(whole.milli_cores - self.used.milli_cores, 0),
-            memory_mib=max(whole.memory_mib - self.used.memory_mib, 0),
-            accelerators=max(whole.accelerators - self.used.accelerators, 0),
-        )
+        """What no run has been given; on trial there is room for one run."""
+        if self.on_trial and self.trial in self.holdings:
+            return NOTHING
+        return self.entry.capacity.minus(self.used)
 
     def usable(self, *, now: float, silence_s: float) -> bool:
         """Tell whether new runs may be given to the worker."""
@@ -85,6 +86,8 @@
             image=step.image,
         )
         self.used = self.used.plus(need)
+        if self.on_trial:
+            self.trial = (task, run)
 
     def release(self, *, task: TaskName, run: int) -> None:
         """Take a run's charge back."""
@@ -124,9 +127,11 @@
             self.slowness += _LEARN_SHARE * (ratio - self.slowness)
 
     def note_success(self) -> None:
-        """Clear the record of failures."""
+        """Clear the record of failures, and end a trial."""
         self.failures = 0
         self.probation_s = 0.0
+        self.on_trial = False
+        self.trial = None
 
 
 def charge(step: Step) -> Resources:
@@ -163,6 +168,7 @@
     def __init__(self) -> None:
         """Start empty."""
         self.workers: dict[WorkerId, Worker] = {}
+        self._unanswered_at = -_TROUBLE_S
         self._shapes: dict[Shape, None] = {}
 
     @property
@@ -170,6 +176,14 @@
         """The shapes of all workers that were ever listed."""
         return tuple(self._shapes)
 
+    def note_unanswered(self, now: float) -> None:
+        """Note that a worker has left an order unanswered."""
+        self._unanswered_at = now
+
+    def in_trouble(self, now: float) -> bool:
+        """Tell whether some worker left an order unanswered lately."""
+        return now - self._unanswered_at < _TROUBLE_S
+
     def see(self, entry: WorkerEntry) -> Worker:
         """Take in a worker's entry; a known one keeps its runs."""
         worker = self.workers.get(entry.id)
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -89,7 +89,7 @@
         while len(found) < min(step.count, limit):
             if need.fits(free):
                 found.append(at)
-                free = _less(free, need)
+                free = free.minus(need)
             elif releases and releases[0].at < _NEVER:
                 release = releases.pop(0)
                 at = max(at, release.at)
@@ -129,11 +129,3 @@
     if worked > expected:
         return now + _OVERTIME_SHARE * expected
     return began + expected
-
-
-def _less(whole: Resources, part: Resources) -> Resources:
-    return Resources(
-        milli_cores=whole.milli_cores - part.milli_cores,
-        memory_mib=whole.memory_mib - part.memory_mib,
-        accelerators=whole.accelerators - part.accelerators,
-    )
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -19,7 +19,13 @@
 
 _log = logging.getLogger(__name__)
 
-_REPEAT_S = 0.25
+# Workers answer within some milliseconds. An order that was left unanswered is
+# repeated while its permit still holds, with more patience each time.
+_FIRST_ANSWER_S = 0.25
+_LONGEST_ANSWER_S = 0.8
+_REPEAT_S = 0.05
+# After so many tries the run is sealed by a stop, and the task goes elsewhere.
+_TRIES = 3
 _STOP_REPEAT_S = 0.4
 _MILLISECONDS = 1000
 
@@ -45,20 +51,28 @@
         worker that stays silent runs it no more.
         """
         owner = self._owner
-        doubtful = False
+        tries = 0
+        answer_s = _FIRST_ANSWER_S
         while _is_current(owner, placement) and not placement.stopping:
             worker = owner.fleet.workers[placement.worker]
-            answer = await self._order(worker, placement)
-            if answer is StartAnswer.SILENT:
-                doubtful = True
-                await trio.sleep(_REPEAT_S)
-                continue
-            self._settle(worker, placement, answer, doubtful)
-            return
-        if placement.stopping and not doubtful:
+            answer = await self._order(worker, placement, answer_s)
+            if answer is not StartAnswer.SILENT:
+                self._settle(worker, placement, answer, doubtful=tries > 0)
+                return
+            owner.fleet.note_unanswered(trio.current_time())
+            tries += 1
+            if tries == _TRIES:
+                owner.stop_run(placement)
+                self._break_gang(placement)
+                return
+            await trio.sleep(_REPEAT_S)
+            answer_s = min(2 * answer_s, _LONGEST_ANSWER_S)
+        if placement.stopping and not tries:
             owner.run_lost(placement, why='stopped before its start')
 
-    async def _order(self, worker: Worker, placement: Placement) -> StartAnswer:
+    async def _order(
+        self, worker: Worker, placement: Placement, answer_s: float
+    ) -> StartAnswer:
         owner = self._owner
         task = owner.book.task(placement.task)
         if task is None or worker.life != placement.life:
@@ -78,6 +92,7 @@
                 payload=job.payload,
                 token=owner.claim.token,
                 lease_until_ms=placement.lease_until_ms or 0,
+                answer_s=answer_s,
                 checkpoint=task.checkpoint,
                 permit=placement.permit,
             ),
@@ -88,6 +103,7 @@
         worker: Worker,
         placement: Placement,
         answer: StartAnswer,
+        *,
         doubtful: bool,
     ) -> None:
         if answer is StartAnswer.FENCED:
@@ -114,7 +130,7 @@
             worker.free,
         )
         if answer is StartAnswer.BUSY:
-            suspect(worker, now)
+            suspect(worker, now, why='busy')
         if doubtful and answer is not StartAnswer.OTHER_LIFE:
             self._owner.stop_run(placement)
         else:
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -54,7 +54,7 @@
     step_key,
 )
 from cyclamentrack.jobs.roster import WorkerRoster
-from cyclamentrack.jobs.sickness import suspect
+from cyclamentrack.jobs.sickness import in_step, suspect
 
 _log = logging.getLogger(__name__)
 
@@ -236,16 +236,27 @@
         worker: Worker,
         current: Placement | None,
     ) -> None:
-        worker.note_success()
-        if current is not None and current.confirmed_at:
-            worked = trio.current_time() - current.confirmed_at
-            worker.learn_speed(worked, step.step)
+        self._learn(worker, step, current)
         finished = step.tasks if step.step.gang else [task]
         for one in finished:
             one.done = True
         if not step.step.gang and task.placement is not None:
             self.stop_run(task.placement)
 
+    def _learn(
+        self, worker: Worker, step: StepRun, current: Placement | None
+    ) -> None:
+        """Learn from a run that is done how its worker does."""
+        if current is None or not current.confirmed_at:
+            worker.note_success()
+            return
+        worked = trio.current_time() - current.confirmed_at
+        worker.learn_speed(worked, step.step)
+        if in_step(worked, step.step) or not worker.on_trial:
+            worker.note_success()
+        else:
+            suspect(worker, trio.current_time(), why='slow')
+
     def _run_failed(
         self,
         step: StepRun,
@@ -280,12 +291,8 @@
                 former.failures -= 1
         if not earlier:
             worker.failures += 1
-            if worker.failures >= _SUSPECT_FAILURES:
-                _log.warning(
-                    'worker on probation worker=%s why=failures',
-                    worker.entry.id,
-                )
-                suspect(worker, now)
+            if worker.on_trial or worker.failures >= _SUSPECT_FAILURES:
+                suspect(worker, now, why='failures')
         task.failed_on.add(worker.entry.id)
 
     def _after_end(self, step: StepRun) -> None:
@@ -381,6 +388,7 @@
             phase=Phase.STARTING,
             since=trio.current_time(),
             permit=given.permit,
+            resumed=bool(task.checkpoint),
         )
         task.placement = placement
         self.book.jobs[task.name.job].begun = True
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -157,7 +157,8 @@
 class StartOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Start one run of a task.
 
-    ``lease_until_ms`` is a time on the worker's own clock.
+    ``lease_until_ms`` is a time on the worker's own clock, ``answer_s`` how
+    long to wait for the answer.
     """
 
     task: TaskName
@@ -165,6 +166,7 @@
     payload: str
     token: Token
     lease_until_ms: int
+    answer_s: float
     checkpoint: str = ''
     permit: str = ''
 
@@ -194,12 +196,17 @@
 
 
 class HoldOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """Extend the lease, acknowledge ends, and wait for further ones."""
+    """Extend the lease, acknowledge ends, and wait for further ones.
+
+    The worker waits ``wait_s`` for an end; its answer may take ``answer_s``
+    beyond that.
+    """
 
     token: Token
     acknowledged: int
     lease_until_ms: int | None
     wait_s: float
+    answer_s: float
 
 
 class HoldReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/sickness.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/sickness.py
@@ -2,16 +2,30 @@
 
 Health checks say nothing here: such workers answer every call. Failures in a
 row, of tasks that failed nowhere else, put a worker on probation; so does a
-run whose progress stands still or is far behind its estimate. A probation
-that ends without better news begins anew, longer.
+run whose progress stands still or is far behind its estimate, and so do runs
+of several jobs that all lag behind. After its probation a worker is on trial:
+it gets one run, until that shows progress. A trial that fails begins the
+probation anew, longer.
 """
 
 import enum
+import logging
+import statistics
+from collections.abc import Iterable
+
+import msgspec
 
 from cyclamentrack.jobs.book import Placement
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.model import Step
 
+_log = logging.getLogger(__name__)
+
+# A run's progress says something from here on, seconds after its start.
+_LAG_AFTER_S = 0.35
+# Estimates are off, but not those of several jobs at once and all one way.
+LAG_FACTOR = 2.5
+_LAG_JOBS = 2
 # Progress is read each second, so two readings may show none.
 _STILL_S = 2.6
 # The members of a gang wait for each other before they progress.
@@ -50,6 +64,57 @@
     return Progress.FINE
 
 
+class Lag(msgspec.Struct, frozen=True, kw_only=True):
+    """How far one run is behind: 2 means that it takes twice its estimate."""
+
+    placement: Placement
+    step: Step
+    factor: float
+
+
+def lag(placement: Placement, step: Step, now: float) -> Lag | None:
+    """Measure one run, or return ``None`` where progress says nothing.
+
+    A gang waits for its slowest member, and a run that was resumed from a
+    checkpoint doesn't begin at none.
+    """
+    worked = now - placement.confirmed_at
+    telling = placement.percent < _PERCENT and placement.pace >= _PERCENT
+    plain = not (step.lasting or step.fills or step.gang or placement.resumed)
+    if worked < _LAG_AFTER_S or not telling or not plain:
+        return None
+    done_s = step.estimate_s * max(placement.percent, 1.0) / _PERCENT
+    if not done_s:
+        return None
+    return Lag(placement=placement, step=step, factor=worked / done_s)
+
+
+def lags_behind(found: Iterable[Lag]) -> bool:
+    """Tell whether a worker's runs, of several jobs, all lag behind."""
+    lags = list(found)
+    behind = {
+        one.placement.task.job for one in lags if one.factor >= LAG_FACTOR
+    }
+    if len(behind) < _LAG_JOBS:
+        return False
+    return statistics.median(one.factor for one in lags) >= LAG_FACTOR
+
+
+def ends_sooner_elsewhere(found: Lag) -> bool:
+    """Tell whether a run on a slow worker would end sooner on another."""
+    left = _PERCENT - found.placement.percent
+    rest = found.step.estimate_s * found.factor * left / _PERCENT
+    again = found.step.estimate_s
+    if found.step.checkpointing:
+        again *= left / _PERCENT
+    return rest > again + _RESTART_COST_S
+
+
+def in_step(worked_s: float, step: Step) -> bool:
+    """Tell whether a run that is done took about as long as estimated."""
+    return worked_s <= _LAG_AFTER_S + LAG_FACTOR * step.estimate_s
+
+
 def worth_moving(placement: Placement, step: Step, now: float) -> bool:
     """Tell whether a crawling run would end sooner if it began elsewhere."""
     worked = now - placement.confirmed_at
@@ -60,11 +125,19 @@
     return rest > again + _RESTART_COST_S
 
 
-def suspect(worker: Worker, now: float) -> None:
+def suspect(worker: Worker, now: float, *, why: str) -> None:
     """Put a worker on probation, longer each time in a row."""
     if now < worker.suspect_until:
         return
+    worker.on_trial = True
+    worker.trial = None
     worker.probation_s = min(
         max(2 * worker.probation_s, _FIRST_PROBATION_S), _LONGEST_PROBATION_S
     )
     worker.suspect_until = now + worker.probation_s
+    _log.warning(
+        'worker on probation worker=%s why=%s for_s=%.1f',
+        worker.entry.id,
+        why,
+        worker.probation_s,
+    )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -14,8 +14,13 @@
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
 from cyclamentrack.jobs.ports import HoldOrder, HoldReport, RunReport
 from cyclamentrack.jobs.sickness import (
+    LAG_FACTOR,
+    Lag,
     Progress,
+    ends_sooner_elsewhere,
     judge,
+    lag,
+    lags_behind,
     suspect,
     worth_moving,
 )
@@ -25,9 +30,16 @@
 
 _log = logging.getLogger(__name__)
 
-# One look a second keeps leases far from their end and progress fresh.
-_HOLD_WAIT_S = 1.0
-_SILENT_PAUSE_S = 0.2
+# Looks keep leases far from their end and progress fresh. One that goes
+# unanswered hides ends for so long; while workers leave orders unanswered
+# looks are shorter.
+_HOLD_WAIT_S = 0.6
+_TROUBLED_WAIT_S = 0.25
+# Workers answer within some milliseconds of an end or of the wait.
+_HOLD_ANSWER_S = 0.35
+_LONGEST_ANSWER_S = 0.8
+_SILENT_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 0.2
 # Looks that go unanswered may be carried out late; from so many on they don't
 # extend the lease, or it would never be certain to have ended.
 _UNANSWERED_LOOKS = 2
@@ -70,27 +82,39 @@
             lease = None
         if lease is not None:
             worker.ordered_at = sent_at
+        silent = self._unanswered > 0
         return await owner.orders.hold(
             worker=worker.entry,
             order=HoldOrder(
                 token=owner.claim.token,
                 acknowledged=worker.acknowledged,
                 lease_until_ms=lease,
-                wait_s=_HOLD_WAIT_S if worker.greeted else 0.0,
+                wait_s=self._wait_s(sent_at),
+                answer_s=_LONGEST_ANSWER_S if silent else _HOLD_ANSWER_S,
             ),
         )
 
+    def _wait_s(self, now: float) -> float:
+        if not self._worker.greeted:
+            return 0.0
+        if self._owner.fleet.in_trouble(now):
+            return _TROUBLED_WAIT_S
+        return _HOLD_WAIT_S
+
     async def _take_silence(self) -> None:
         worker = self._worker
-        self._unanswered += 1
         now = trio.current_time()
+        if not self._unanswered:
+            self._owner.fleet.note_unanswered(now)
+        self._unanswered += 1
         if worker.lapsed(now=now, lease_s=self._owner.tuning.worker_lease_s):
             self._lose_all('its lease has lapsed')
             worker.clock_ms = None
             if not worker.listed:
                 worker.retired = True
                 _log.info('worker retired worker=%s', worker.entry.id)
-        await trio.sleep(_SILENT_PAUSE_S)
+        again = self._unanswered > 1
+        await trio.sleep(_LONGEST_PAUSE_S if again else _SILENT_PAUSE_S)
 
     async def _take_in(self, report: HoldReport, sent_at: float) -> None:
         worker = self._worker
@@ -220,12 +244,41 @@
 
     def _judge_progress(self, now: float) -> None:
         """Find out from the runs whether the worker is sick."""
+        lags: list[Lag] = []
         for placement in self._placements():
             step = self._owner.book.step_of(placement.task)
             if step is None or placement.stopping:
                 continue
             if placement.phase is Phase.RUNNING:
                 self._judge_run(placement, step, now)
+                found = lag(placement, step.step, now)
+                if found is not None:
+                    lags.append(found)
+        self._judge_lags(lags, now)
+
+    def _judge_lags(self, lags: list[Lag], now: float) -> None:
+        """Leave a worker alone on which all runs lag, and move these."""
+        if self._worker.on_trial:
+            self._judge_trial(lags, now)
+        if not lags_behind(lags):
+            return
+        suspect(self._worker, now, why='slow')
+        for found in lags:
+            step = self._owner.book.step_of(found.placement.task)
+            if step is not None and ends_sooner_elsewhere(found):
+                self._move(found.placement, step, 'slow worker')
+
+    def _judge_trial(self, lags: list[Lag], now: float) -> None:
+        """Take a worker back whose run on trial keeps step."""
+        for found in lags:
+            placement = found.placement
+            if (placement.task, placement.run) != self._worker.trial:
+                continue
+            if found.factor < LAG_FACTOR:
+                self._worker.note_success()
+                self._owner.wake()
+            else:
+                suspect(self._worker, now, why='slow')
 
     def _judge_run(
         self, placement: Placement, step: StepRun, now: float
@@ -233,7 +286,7 @@
         progress = judge(placement, step.step, now)
         if progress is Progress.FINE:
             return
-        suspect(self._worker, now)
+        suspect(self._worker, now, why=progress.value)
         still = progress is Progress.STILL
         if still or worth_moving(placement, step.step, now):
             self._move(placement, step, progress.value)
--- a/packages/cyclamentrack/cyclamentrack/resources.py
+++ b/packages/cyclamentrack/cyclamentrack/resources.py
@@ -50,6 +50,14 @@
             accelerators=self.accelerators + other.accelerators,
         )
 
+    def minus(self, other: 'Resources') -> 'Resources':
+        """Return what is left of this amount, nothing below zero."""
+        return Resources(
+            milli_cores=max(self.milli_cores - other.milli_cores, 0),
+            memory_mib=max(self.memory_mib - other.memory_mib, 0),
+            accelerators=max(self.accelerators - other.accelerators, 0),
+        )
+
     def dominant_share(self, whole: 'Resources') -> float:
         """Return the largest fraction of ``whole`` over all dimensions."""
         return max(
