Let whoever has room kept keep its turn, and keep it while the pool is busy

Cause: tasks of a whole worker and gangs waited 30 s and more. Their room was opened to all after 1.6 s, and each round gave it to the step whose latest start was next, so workers were drained in vain again and again.

Change: a step for which room is kept goes next after urgent work until it has started; a third of the workers at most have room kept; each task of a large step has a start of its own in the plan; a job that has nothing running may use room that is kept beyond 2.4 s of its wait, unless the pool is busy. The jobs feed is spaced by 0.25 s, since nodes tell the owner directly.

--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -137,6 +137,7 @@
         default_factory=dict,
     )
     begun: bool = False
+    idle_since: float = 0.0
     published: bool = False
     opened: int = 0
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -13,24 +13,26 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Fleet, Worker, charge
-from cyclamentrack.jobs.gangs import Forecast, GangPlan, together
+from cyclamentrack.jobs.gangs import Forecast, GangPlan, needs_plan
 from cyclamentrack.jobs.headroom import Headroom
-from cyclamentrack.jobs.model import TaskName
-from cyclamentrack.jobs.order import prospect_of, turn
+from cyclamentrack.jobs.model import StepName, TaskName
+from cyclamentrack.jobs.order import Turn, prospect_of, turn
 from cyclamentrack.jobs.permits import PermitBook
 from cyclamentrack.resources import NOTHING
 
 # A worker that hasn't answered for so long gets nothing new.
 _SILENCE_S = 2.6
 _NEVER = float('inf')
-# Gangs for which room is kept at a time.
-_PLANS = 3
-# Room is kept so long, seconds, and then open to all for a while. A job that
-# has nothing running beside free room for 3 s counts as lost, and permits
-# take most of a second to renew.
-_KEEP_S = 1.6
-_OPEN_S = 1.0
-# A pool of which so much is in use, in each dimension, is busy.
+# Of the workers one in so many has room kept at a time, beyond one plan's.
+_KEPT_SHARE = 3
+# Room is kept for starts that are expected within this time, seconds.
+_HORIZON_S = 6.0
+# A job that has nothing running beside free room for 3 s counts as lost, and
+# permits take up to half a second. So room that is kept beyond that time is
+# open to it, after it has waited for a while.
+_NEGLECT_S = 1.2
+_NOTHING_RUNS_S = 2.4
+# A pool of which so much is in use, in some dimension, is busy.
 _BUSY_SHARE = 0.55
 # Permits are renewed so long before a gang's room is expected to be free,
 # beyond the time that the decision takes.
@@ -97,7 +99,7 @@
     ) -> None:
         """Decide over the book's open steps and the fleet's rooms."""
         self._urgent_queues = urgent_queues
-        self._kept_since: dict[WorkerId, float] = {}
+        self._holding: set[StepName] = set()
         self._book = book
         self._fleet = fleet
         self._permits = permits
@@ -116,11 +118,12 @@
             forecast=Forecast(book=self._book, workers=usable, now=now),
             headroom=_headroom(usable, urgent_queues=self._urgent_queues()),
         )
-        for entry, step in self._in_order(now):
+        ready = self._in_order(now)
+        self._holding.clear()
+        for entry, step in ready:
             self._place_step(entry, step, state)
-            count = together(step.step, usable)
-            if count:
-                self._plan_gang(entry, step, state, count)
+            if needs_plan(step.step, usable):
+                self._plan(entry, step, state)
             else:
                 self._wish(entry, step, state)
         return state.outcome
@@ -131,9 +134,19 @@
             for step in self._book.open_steps.values()
             if step.idle
         ]
-        ready.sort(key=lambda pair: turn(*pair, now))
+        ready.sort(key=lambda pair: self._turn(*pair, now))
         return ready
 
+    def _turn(
+        self, entry: JobRun, step: StepRun, now: float
+    ) -> tuple[bool, bool, Turn]:
+        """Return a step's turn: what room is kept for is next to urgent work.
+
+        Room that was kept in vain is wasted, so whoever has it keeps it.
+        """
+        own = turn(entry, step, now)
+        return own.after_urgent, step.name not in self._holding, own
+
     def _place_step(
         self, entry: JobRun, step: StepRun, state: '_RoundState'
     ) -> None:
@@ -167,6 +180,8 @@
     ) -> list[TaskRun]:
         """Return the tasks that may be placed beside urgent queues' room."""
         tasks = step.idle
+        if self._neglected(step, state):
+            return tasks[:1]
         if entry.queue.priority == 0 or step.step.lasting:
             return tasks
         count = state.headroom.allowed(
@@ -178,91 +193,83 @@
         return tasks[:count]
 
     def _eligible(self, step: StepRun, state: '_RoundState') -> list[Worker]:
-        """Return the workers that have room which is kept for nobody else."""
+        """Return the workers that have room which is kept for nobody else.
+
+        A job that has waited with nothing running may use room that is kept
+        for too long as well, unless the pool is busy.
+        """
         need = charge(step.step)
-        return [
+        roomy = [
             worker
             for worker in state.usable
-            if _suits(step, worker)
-            and need.fits(worker.free)
-            and state.open_to(step, worker)
+            if _suits(step, worker) and need.fits(worker.free)
+        ]
+        found = [worker for worker in roomy if state.open_to(step, worker)]
+        if found or not self._neglected(step, state):
+            return found
+        idle_since = self._book.jobs[step.name.job].idle_since
+        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
+        return [
+            worker for worker in roomy if state.kept[worker.entry.id] > bound
         ]
 
-    def _plan_gang(
-        self, entry: JobRun, step: StepRun, state: '_RoundState', count: int
-    ) -> None:
+    def _neglected(self, step: StepRun, state: '_RoundState') -> bool:
+        """Tell whether a job has nothing running though the pool has room."""
+        entry = self._book.jobs[step.name.job]
+        since = max(entry.idle_since, step.opened_at)
+        if state.busy or state.now - since < _NEGLECT_S:
+            return False
+        return not entry.placed
+
+    def _plan(self, entry: JobRun, step: StepRun, state: '_RoundState') -> None:
         """Keep room for tasks that wait, and renew their permits in time."""
-        if all(task.name in state.given for task in step.idle):
+        left = [task for task in step.idle if task.name not in state.given]
+        if not left:
             return
         known = self._permits.of(step.name)
         candidates = [
             worker
             for worker in state.usable
             if worker.entry.id not in known.bad
-            and _suits(step, worker)
+            and (not known.good or worker.entry.id in known.good)
             and worker.entry.id not in state.kept
+            and _suits(step, worker)
         ]
-        if known.good:
-            candidates = [
-                worker for worker in candidates if worker.entry.id in known.good
-            ]
-        plan = state.forecast.plan(step.step, candidates, count=count)
-        if plan is None:
-            plan = GangPlan(at=_NEVER, workers=frozenset())
-        if (
-            plan.workers
-            and (known.good or entry.queue.permits is None)
-            and len(state.plans) < _PLANS
-            and prospect_of(entry, step, state.now)
-        ):
-            state.plans.append(plan)
-            for worker in plan.workers:
-                if self._may_keep(worker, state):
-                    state.kept[worker] = plan.at
+        plan = state.forecast.plan(step.step, candidates, count=len(left))
+        permitted = bool(known.good) or entry.queue.permits is None
+        useful = permitted and prospect_of(entry, step, state.now)
+        if useful and state.keep(plan):
+            self._holding.add(step.name)
         if entry.queue.permits is not None:
-            self._renew_for_gang(entry, step, plan, state)
-
-    def _may_keep(self, worker: WorkerId, state: '_RoundState') -> bool:
-        """Tell whether a worker's room may still be kept for a plan.
-
-        A plan waits for runs whose end is only expected. Unless the pool is
-        busy, room that is kept too long must not make others wait for it.
-        """
-        since = self._kept_since.get(worker, 0.0)
-        held = state.now - since
-        if held > _KEEP_S + _OPEN_S:
-            self._kept_since[worker] = state.now
-            return True
-        return held <= _KEEP_S or state.busy
+            self._renew_for_plan(entry, step, plan, state)
 
-    def _renew_for_gang(
+    def _renew_for_plan(
         self,
         entry: JobRun,
         step: StepRun,
         plan: GangPlan,
         state: '_RoundState',
     ) -> None:
-        """Ask for permits that will hold when the plan's moment comes."""
+        """Ask for permits that will hold when the plan's moments come."""
         policy = entry.queue.permits
         known = self._permits.of(step.name)
         decide_s = policy.decide_s if policy else 0
         soon = state.now + decide_s + _PERMIT_LEAD_S
-        unknown = self._unknown(step, state)
-        planned = [
+        due = [
             worker
             for worker in state.usable
-            if worker.entry.id in plan.workers
+            if plan.starts.get(worker.entry.id, _NEVER) <= soon
             and not known.fresh(
                 worker.entry.id, now=state.now, life=worker.life
             )
         ]
-        due = plan.at <= soon and planned
+        unknown = self._unknown(step, state)
         if due or (unknown and not known.good):
             state.outcome.wishes.append(
                 PermitWish(
                     entry=entry,
                     step=step,
-                    workers=_distinct([*planned, *unknown]),
+                    workers=_distinct([*due, *unknown]),
                 ),
             )
 
@@ -337,15 +344,13 @@
 
 
 def _is_busy(usable: list[Worker]) -> bool:
-    """Tell whether most processors and most accelerators are in use."""
-    cores = sum(one.entry.capacity.milli_cores for one in usable)
-    used_cores = sum(one.used.milli_cores for one in usable)
-    devices = sum(one.entry.capacity.accelerators for one in usable)
-    used_devices = sum(one.used.accelerators for one in usable)
-    return (
-        used_cores >= _BUSY_SHARE * cores
-        and used_devices >= _BUSY_SHARE * devices
-    )
+    """Tell whether most processors or most accelerators are in use."""
+    whole = NOTHING
+    used = NOTHING
+    for one in usable:
+        whole = whole.plus(one.entry.capacity)
+        used = used.plus(one.used)
+    return used.dominant_share(whole) >= _BUSY_SHARE
 
 
 def _distinct(workers: list[Worker]) -> list[Worker]:
@@ -371,10 +376,20 @@
         self.forecast = forecast
         self.outcome = Round()
         self.given: set[TaskName] = set()
-        self.plans: list[GangPlan] = []
         self.kept: dict[WorkerId, float] = {}
         self.busy = _is_busy(usable)
 
+    def keep(self, plan: GangPlan) -> bool:
+        """Keep room for a plan, unless too much is kept already."""
+        most = max(len(self.usable) // _KEPT_SHARE, 1)
+        wanted = len(self.kept) + len(plan.starts)
+        if not plan.starts or (self.kept and wanted > most):
+            return False
+        if max(plan.starts.values()) > self.now + _HORIZON_S:
+            return False
+        self.kept.update(plan.starts)
+        return True
+
     def open_to(self, step: StepRun, worker: Worker) -> bool:
         """Tell whether a worker's room may be used by a step.
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -26,10 +26,13 @@
 
 
 class GangPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """The moment at which a gang could start, and on which workers."""
+    """When and where the tasks of a step could start.
 
-    at: float
-    workers: frozenset[WorkerId]
+    ``starts`` gives for each worker the first moment at which one of the
+    tasks could start there; for a gang it is the same for all.
+    """
+
+    starts: dict[WorkerId, float]
 
 
 class _Release(msgspec.Struct, frozen=True, order=True, array_like=True):
@@ -60,20 +63,21 @@
 
     def plan(
         self, step: Step, workers: list[Worker], *, count: int
-    ) -> GangPlan | None:
-        """Return the earliest start of some tasks together."""
+    ) -> GangPlan:
+        """Return the earliest starts of some tasks, of a gang together."""
         times = sorted(
             (at, worker.entry.id)
             for worker in workers
             for at in self._slots(step, worker)
         )
-        if len(times) < count:
-            return None
         chosen = times[:count]
-        return GangPlan(
-            at=chosen[-1][0],
-            workers=frozenset(worker for _, worker in chosen),
-        )
+        if step.gang and len(chosen) < count:
+            return GangPlan(starts={})
+        starts: dict[WorkerId, float] = {}
+        for at, worker in chosen:
+            first = chosen[-1][0] if step.gang else at
+            starts.setdefault(worker, first)
+        return GangPlan(starts=starts)
 
     def _slots(self, step: Step, worker: Worker) -> list[float]:
         """Return when the worker has room for one member, for two, ..."""
@@ -99,19 +103,16 @@
         return found
 
 
-def together(step: Step, workers: list[Worker]) -> int:
-    """Return how many tasks of a step need room kept for them, or none.
+def needs_plan(step: Step, workers: list[Worker]) -> bool:
+    """Tell whether room must be kept for a step's tasks.
 
-    All of a gang; of other steps one, if its tasks are large.
+    For gangs, and for tasks that are large on each of the workers.
     """
-    if step.gang:
-        return step.count
     need = charge(step)
-    large = all(
+    return step.gang or all(
         need.dominant_share(worker.entry.capacity) >= _LARGE_SHARE
         for worker in workers
     )
-    return 1 if large else 0
 
 
 def expected_end(
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -39,6 +39,9 @@
 # adapter's slack; what callers hand in meanwhile waits so long.
 _FEED_WAIT_S = 1.0
 _FEED_RETRY_S = 0.15
+# Nodes tell the owner at once of what they keep; the feed is for what they
+# could not tell, so several changes share one answer.
+_FEED_GAP_S = 0.25
 _SWEEP_S = 5.0
 # Clocks of instances differ; an older acceptance is taken for this old.
 _MAX_AGE_S = 120.0
@@ -95,6 +98,7 @@
                 if pool_of_part(row.key.part) == self._owner.claim.pool:
                     self._take_job(row)
             self._owner.wake()
+            await trio.sleep(_FEED_GAP_S)
 
     def take_kept(self, job: Job) -> None:
         """Take in a job that a node has just kept.
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -301,6 +301,8 @@
             return
         if step.done:
             self.book.open_steps.pop(step.name, None)
+        if not entry.placed:
+            entry.idle_since = trio.current_time()
         if entry.state is None:
             self.open_due(entry)
             if self.book.all_done(entry):
