Judge slowness only where estimates proved right; help jobs left with nothing

Change: a run is measured against the done tasks of its step, or against its estimate in queues whose estimates proved right (median within a half). A priority level counts as 5 s of waiting (2.5 s before), and ends and commits that come together share a call.

--- a/features/decisions/decisions.feature
+++ b/features/decisions/decisions.feature
@@ -86,3 +86,17 @@
     And 1.5 seconds go by
     Then all jobs are shown as "completed"
     And the workers' record is clean
+
+  Scenario: Estimates that are far off put no worker on probation
+    Given a pool of 4 workers with urgent and patient queues
+    When 12 patient jobs of 3 tasks are submitted that take 4 times their estimate
+    And 20 seconds go by
+    Then all jobs are shown as "completed"
+    And no worker was ever on probation
+
+  Scenario: A job with nothing running gets a worker on probation
+    Given a pool of 4 workers with urgent and patient queues
+    And all workers are on probation for 10 seconds
+    When a patient job of 2 tasks of 1 second is submitted
+    And 3 seconds go by
+    Then some task of the last job has started
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -69,6 +69,24 @@
         _submit(context, step, queue='batch', work_s=work_s)
 
 
+@when(
+    '{jobs:d} patient jobs of {count:d} tasks are submitted '
+    'that take {times:g} times their estimate'
+)
+def submit_underestimated(context, jobs, count, times):
+    for _ in range(jobs):
+        step = make_step(count, estimate=0.5)
+        _submit(context, step, queue='batch', work_s=0.5 * times)
+
+
+@given('all workers are on probation for {seconds:g} seconds')
+def suspect_all(context, seconds):
+    owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
+    now = context.jobs.loop.run(context.jobs.now)
+    for worker in owner.fleet.workers.values():
+        worker.suspect_until = now + seconds
+
+
 @when('an urgent job of {count:d} tasks is submitted')
 def submit_urgent(context, count):
     _submit(context, make_step(count))
@@ -125,6 +143,19 @@
     assert len(started) == wanted, (len(started), wanted)
 
 
+@then('some task of the last job has started')
+def check_some_started(context):
+    starts = context.jobs.workers.starts
+    assert any(task.job == context.job for _, task, _, _ in starts)
+
+
+@then('no worker was ever on probation')
+def check_never_suspect(context):
+    owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
+    for worker in owner.fleet.workers.values():
+        assert not worker.suspect_until, worker.entry.id
+
+
 @then('all jobs are shown as "{state}"')
 def check_all(context, state):
     for job in context.submitted:
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -97,6 +97,7 @@
     step: Step
     tasks: list[TaskRun]
     opened_at: float
+    took_s: list[float] = msgspec.field(default_factory=list)
 
     @property
     def done(self) -> bool:
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -106,14 +106,16 @@
 
     def decide(self, now: float) -> Round:
         """Give ready tasks to workers, and charge these for them."""
-        usable = [
+        present = [
             worker
             for worker in self._fleet.workers.values()
-            if worker.usable(now=now, silence_s=_SILENCE_S)
+            if worker.present(now=now, silence_s=_SILENCE_S)
         ]
+        usable = [one for one in present if now >= one.suspect_until]
         state = _RoundState(
             now=now,
             usable=usable,
+            suspects=[one for one in present if now < one.suspect_until],
             demand=_Demand(usable),
             forecast=Forecast(book=self._book, workers=usable, now=now),
             headroom=_headroom(usable, urgent_queues=self._urgent_queues()),
@@ -196,22 +198,26 @@
         """Return the workers that have room which is kept for nobody else.
 
         A job that has waited with nothing running may use room that is kept
-        for too long as well, unless the pool is busy.
+        for too long, and workers on probation, unless the pool is busy.
         """
-        need = charge(step.step)
-        roomy = [
-            worker
-            for worker in state.usable
-            if _suits(step, worker) and need.fits(worker.free)
-        ]
+        roomy = _with_room(step, state.usable)
         found = [worker for worker in roomy if state.open_to(step, worker)]
         if found or not self._neglected(step, state):
             return found
         idle_since = self._book.jobs[step.name.job].idle_since
         bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
-        return [
+        kept_long = [
             worker for worker in roomy if state.kept[worker.entry.id] > bound
         ]
+        return kept_long or _with_room(step, state.suspects)
+
+    def _within_reach(
+        self, step: StepRun, state: '_RoundState'
+    ) -> list[Worker]:
+        """Return the workers that a step may wait for."""
+        if self._neglected(step, state):
+            return [*state.usable, *state.suspects]
+        return state.usable
 
     def _neglected(self, step: StepRun, state: '_RoundState') -> bool:
         """Tell whether a job has nothing running though the pool has room."""
@@ -229,7 +235,7 @@
         known = self._permits.of(step.name)
         candidates = [
             worker
-            for worker in state.usable
+            for worker in self._within_reach(step, state)
             if worker.entry.id not in known.bad
             and (not known.good or worker.entry.id in known.good)
             and worker.entry.id not in state.kept
@@ -257,7 +263,7 @@
         soon = state.now + decide_s + _PERMIT_LEAD_S
         due = [
             worker
-            for worker in state.usable
+            for worker in self._within_reach(step, state)
             if plan.starts.get(worker.entry.id, _NEVER) <= soon
             and not known.fresh(
                 worker.entry.id, now=state.now, life=worker.life
@@ -320,7 +326,10 @@
             for worker in self._eligible(step, state)
             if worker.entry.id not in bad
         ]
-        if wanted and state.demand.admit(step, len(left)):
+        room_left = self._neglected(step, state) or state.demand.admit(
+            step, len(left)
+        )
+        if wanted and room_left:
             state.outcome.wishes.append(
                 PermitWish(
                     entry=entry,
@@ -365,6 +374,7 @@
         *,
         now: float,
         usable: list[Worker],
+        suspects: list[Worker],
         demand: _Demand,
         forecast: Forecast,
         headroom: Headroom,
@@ -372,6 +382,7 @@
         self.headroom = headroom
         self.now = now
         self.usable = usable
+        self.suspects = suspects
         self.demand = demand
         self.forecast = forecast
         self.outcome = Round()
@@ -412,6 +423,15 @@
     return True
 
 
+def _with_room(step: StepRun, workers: list[Worker]) -> list[Worker]:
+    need = charge(step.step)
+    return [
+        worker
+        for worker in workers
+        if _suits(step, worker) and need.fits(worker.free)
+    ]
+
+
 def _place_each(
     step: StepRun, tasks: list[TaskRun], allowed: list[Worker]
 ) -> list[tuple[TaskRun, Worker]]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -69,12 +69,17 @@
 
     def usable(self, *, now: float, silence_s: float) -> bool:
         """Tell whether new runs may be given to the worker."""
+        return now >= self.suspect_until and self.present(
+            now=now, silence_s=silence_s
+        )
+
+    def present(self, *, now: float, silence_s: float) -> bool:
+        """Tell whether the worker would take new runs, sick or not."""
         known = self.listed and self.greeted and not self.retired
         current = self.life == self.entry.life and not self.strays
-        healthy = now >= self.suspect_until
         heard = now - self.heard_at < silence_s
         ready = self.entry.state is WorkerState.READY
-        return all((known, current, healthy, heard, ready))
+        return all((known, current, heard, ready))
 
     def take(self, *, task: TaskName, run: int, step: Step) -> None:
         """Charge a run."""
@@ -120,10 +125,12 @@
         """Tell whether every lease that was given has ended for certain."""
         return now > self.ordered_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
 
-    def learn_speed(self, worked_s: float, step: Step) -> None:
+    def learn_speed(
+        self, worked_s: float, typical_s: float, step: Step
+    ) -> None:
         """Learn from a run that is done how slow the worker is."""
-        if step.estimate_s > 0 and not step.fills:
-            ratio = min(max(worked_s / step.estimate_s, 0.3), 4.0)
+        if not step.fills:
+            ratio = min(max(worked_s / typical_s, 0.3), 4.0)
             self.slowness += _LEARN_SHARE * (ratio - self.slowness)
 
     def note_success(self) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -109,10 +109,8 @@
     For gangs, and for tasks that are large on each of the workers.
     """
     need = charge(step)
-    return step.gang or all(
-        need.dominant_share(worker.entry.capacity) >= _LARGE_SHARE
-        for worker in workers
-    )
+    shares = [need.dominant_share(worker.entry.capacity) for worker in workers]
+    return step.gang or min(shares, default=0.0) >= _LARGE_SHARE
 
 
 def expected_end(
--- a/packages/cyclamentrack/cyclamentrack/jobs/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/journal.py
@@ -31,7 +31,7 @@
 # Below the store's limit of 1 MB a call, with room for names and base64.
 _BATCH_BYTES = 500_000
 # Commits of one slice are spaced so, which bounds what it asks of the store.
-_WINDOW_S = 0.004
+_WINDOW_S = 0.01
 _RETRY_MIN_S = 0.05
 _RETRY_MAX_S = 0.4
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -17,7 +17,7 @@
 _LATE_FACTOR = 3.0
 # A queue of the next lower priority waits this much longer, seconds: about
 # the time in which a whole worker becomes free for a gang.
-_PRIORITY_S = 2.5
+_PRIORITY_S = 5.0
 
 
 class Prospect(enum.IntEnum):
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -54,7 +54,7 @@
     step_key,
 )
 from cyclamentrack.jobs.roster import WorkerRoster
-from cyclamentrack.jobs.sickness import in_step, suspect
+from cyclamentrack.jobs.sickness import EstimateTrust, in_step, suspect
 
 _log = logging.getLogger(__name__)
 
@@ -92,6 +92,7 @@
         self.claim = claim
         self.book = JobBook()
         self.fleet = Fleet()
+        self.trust = EstimateTrust()
         self.journal = journal
         self.tuning = parts.tuning
         self.orders = parts.orders
@@ -145,6 +146,13 @@
         found = configuration and configuration.queue(entry.job.queue)
         return found or entry.queue
 
+    def typical_s(self, step: StepRun) -> float:
+        """Return how long a task of a step should take, 0 if unknown."""
+        entry = self.book.jobs.get(step.name.job)
+        if entry is None:
+            return 0.0
+        return self.trust.typical_s(entry.job.queue, step)
+
     def keep_step(self, step: StepRun) -> None:
         """Queue the step's record for the journal."""
         entry = self.book.jobs.get(step.name.job)
@@ -251,8 +259,14 @@
             worker.note_success()
             return
         worked = trio.current_time() - current.confirmed_at
-        worker.learn_speed(worked, step.step)
-        if in_step(worked, step.step) or not worker.on_trial:
+        typical = self.typical_s(step)
+        if typical:
+            worker.learn_speed(worked, typical, step.step)
+        if not current.resumed:
+            step.took_s.append(worked)
+            queue = self.book.jobs[step.name.job].job.queue
+            self.trust.learn(queue, step.step, worked)
+        if in_step(worked, typical_s=typical) or not worker.on_trial:
             worker.note_success()
         else:
             suspect(worker, trio.current_time(), why='slow')
--- a/packages/cyclamentrack/cyclamentrack/jobs/sickness.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/sickness.py
@@ -10,14 +10,15 @@
 
 import enum
 import logging
+import math
 import statistics
 from collections.abc import Iterable
 
 import msgspec
 
-from cyclamentrack.jobs.book import Placement
+from cyclamentrack.jobs.book import Placement, StepRun
 from cyclamentrack.jobs.fleet import Worker
-from cyclamentrack.jobs.model import Step
+from cyclamentrack.jobs.model import QueueName, Step
 
 _log = logging.getLogger(__name__)
 
@@ -26,6 +27,11 @@
 # Estimates are off, but not those of several jobs at once and all one way.
 LAG_FACTOR = 2.5
 _LAG_JOBS = 2
+# How far estimates are off, as the median logarithm of the ratio: up to a
+# half where they can be trusted, twice or more where they can't.
+_TRUSTED_OFF = 0.4
+_UNTRIED_OFF = 0.6
+_OFF_STEP = 0.03
 # Progress is read each second, so two readings may show none.
 _STILL_S = 2.6
 # The members of a gang wait for each other before they progress.
@@ -48,31 +54,72 @@
     CRAWLS = 'crawls'
 
 
-def judge(placement: Placement, step: Step, now: float) -> Progress:
-    """Judge one run that its worker has under way."""
+def judge(
+    placement: Placement, step: Step, now: float, *, typical_s: float
+) -> Progress:
+    """Judge one run that its worker has under way.
+
+    Where nobody can tell how long it should take, only one that stands still
+    is found out.
+    """
     still_s = _GANG_STILL_S if step.gang else _STILL_S
     if placement.percent >= _PERCENT or placement.pace < _PERCENT:
         return Progress.FINE
     if now - placement.moved_at > still_s + step.estimate_s / _PERCENT:
         return Progress.STILL
     worked = now - placement.confirmed_at
-    if step.lasting or worked < _CRAWL_AFTER_S or step.fills:
+    if step.lasting or worked < _CRAWL_AFTER_S or step.fills or not typical_s:
         return Progress.FINE
-    expected = _PERCENT * worked / max(step.estimate_s, worked)
+    expected = _PERCENT * worked / max(typical_s, worked)
     if placement.percent * _CRAWL_FACTOR < expected:
         return Progress.CRAWLS
     return Progress.FINE
 
 
 class Lag(msgspec.Struct, frozen=True, kw_only=True):
-    """How far one run is behind: 2 means that it takes twice its estimate."""
+    """How far one run is behind: 2 means that it takes twice as long."""
 
     placement: Placement
     step: Step
+    typical_s: float
     factor: float
 
 
-def lag(placement: Placement, step: Step, now: float) -> Lag | None:
+class EstimateTrust:
+    """Which queues' estimates can be relied on, learnt from runs that are done.
+
+    Follows the median of how far off they are, so that a spell of slow
+    workers doesn't discredit a queue.
+    """
+
+    def __init__(self) -> None:
+        """Trust no queue yet."""
+        self._off: dict[QueueName, float] = {}
+
+    def learn(self, queue: QueueName, step: Step, worked_s: float) -> None:
+        """Take in how long a run took that wasn't resumed."""
+        if step.estimate_s <= 0 or worked_s <= 0:
+            return
+        off = abs(math.log(worked_s / step.estimate_s))
+        known = self._off.get(queue, _UNTRIED_OFF)
+        change = _OFF_STEP if off > known else -_OFF_STEP
+        self._off[queue] = known + change
+
+    def typical_s(self, queue: QueueName, run: StepRun) -> float:
+        """Return how long a task should take, or 0 if nobody can tell.
+
+        Tasks of one step are alike, so those that are done tell it best.
+        """
+        if run.took_s:
+            return statistics.median(run.took_s)
+        if self._off.get(queue, _UNTRIED_OFF) < _TRUSTED_OFF:
+            return run.step.estimate_s
+        return 0.0
+
+
+def lag(
+    placement: Placement, step: Step, now: float, *, typical_s: float
+) -> Lag | None:
     """Measure one run, or return ``None`` where progress says nothing.
 
     A gang waits for its slowest member, and a run that was resumed from a
@@ -83,10 +130,15 @@
     plain = not (step.lasting or step.fills or step.gang or placement.resumed)
     if worked < _LAG_AFTER_S or not telling or not plain:
         return None
-    done_s = step.estimate_s * max(placement.percent, 1.0) / _PERCENT
+    done_s = typical_s * max(placement.percent, 1.0) / _PERCENT
     if not done_s:
         return None
-    return Lag(placement=placement, step=step, factor=worked / done_s)
+    return Lag(
+        placement=placement,
+        step=step,
+        typical_s=typical_s,
+        factor=worked / done_s,
+    )
 
 
 def lags_behind(found: Iterable[Lag]) -> bool:
@@ -103,16 +155,16 @@
 def ends_sooner_elsewhere(found: Lag) -> bool:
     """Tell whether a run on a slow worker would end sooner on another."""
     left = _PERCENT - found.placement.percent
-    rest = found.step.estimate_s * found.factor * left / _PERCENT
-    again = found.step.estimate_s
+    rest = found.typical_s * found.factor * left / _PERCENT
+    again = found.typical_s
     if found.step.checkpointing:
         again *= left / _PERCENT
     return rest > again + _RESTART_COST_S
 
 
-def in_step(worked_s: float, step: Step) -> bool:
-    """Tell whether a run that is done took about as long as estimated."""
-    return worked_s <= _LAG_AFTER_S + LAG_FACTOR * step.estimate_s
+def in_step(worked_s: float, *, typical_s: float) -> bool:
+    """Tell whether a run that is done took about as long as it should."""
+    return not typical_s or worked_s <= _LAG_AFTER_S + LAG_FACTOR * typical_s
 
 
 def worth_moving(placement: Placement, step: Step, now: float) -> bool:
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -30,6 +30,8 @@
 
 _log = logging.getLogger(__name__)
 
+# Ends that follow within this time share one look, since each is priced.
+_ENDS_GAP_S = 0.02
 # Looks keep leases far from their end and progress fresh. One that goes
 # unanswered hides ends for so long; while workers leave orders unanswered
 # looks are shorter.
@@ -137,6 +139,7 @@
         self._evacuate()
         if newest > worker.acknowledged:
             await self._acknowledge(newest)
+            await trio.sleep(_ENDS_GAP_S)
 
     async def _acknowledge(self, newest: int) -> None:
         """Acknowledge ends once what they changed is kept."""
@@ -251,7 +254,12 @@
                 continue
             if placement.phase is Phase.RUNNING:
                 self._judge_run(placement, step, now)
-                found = lag(placement, step.step, now)
+                found = lag(
+                    placement,
+                    step.step,
+                    now,
+                    typical_s=self._owner.typical_s(step),
+                )
                 if found is not None:
                     lags.append(found)
         self._judge_lags(lags, now)
@@ -283,7 +291,9 @@
     def _judge_run(
         self, placement: Placement, step: StepRun, now: float
     ) -> None:
-        progress = judge(placement, step.step, now)
+        progress = judge(
+            placement, step.step, now, typical_s=self._owner.typical_s(step)
+        )
         if progress is Progress.FINE:
             return
         suspect(self._worker, now, why=progress.value)
