Reckon a job's objective with waves, the permit call and done tasks

Cause: a wide job counted as late long before its objective: the objective allows for waves where a step is wider than a quarter of its pool's room, and for one permit call on 30 workers a step.

Change: a module of its own reckons the longest chain; the waiting part of a step counts for its latest start, and done tasks replace the estimate.

Two scenarios that failed before.

--- a/features/decisions/decisions.feature
+++ b/features/decisions/decisions.feature
@@ -100,3 +100,19 @@
     When a patient job of 2 tasks of 1 second is submitted
     And 3 seconds go by
     Then some task of the last job has started
+
+  Scenario Outline: A wide step runs in waves of a quarter of its pool
+    Then a step of <count> tasks in a pool for <room> runs in <times> waves
+
+    Examples:
+      | count | room | times |
+      | 10    | 40   | 1     |
+      | 11    | 40   | 2     |
+      | 48    | 56   | 4     |
+      | 48    | 0    | 1     |
+
+  Scenario: A wide job's objective counts its waves
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 64 tasks of 1 second is submitted
+    And 0.5 seconds go by
+    Then the last job has more than 24 seconds to its due time
--- /dev/null
+++ b/features/steps/chain_steps.py
@@ -0,0 +1,23 @@
+"""Steps about a job's longest chain and its objective."""
+
+from behave import then
+
+from cyclamentrack.jobs.chain import waves
+from features.harness.jobworld import POOL, make_step
+
+
+@then(
+    'a step of {count:d} tasks in a pool for {room:d} runs in {times:d} waves'
+)
+def check_waves(context, count, room, times):
+    del context
+    step = make_step(count)
+    assert waves(step, count, room) == times
+
+
+@then('the last job has more than {seconds:g} seconds to its due time')
+def check_due(context, seconds):
+    owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
+    entry = owner.book.jobs[context.job]
+    allowed = entry.due_by - entry.arrived_at
+    assert allowed > seconds, allowed
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -5,12 +5,14 @@
 """
 
 import enum
+import statistics
 from collections.abc import Iterator
 
 import msgspec
 
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.chain import Chain, Room, reckon
 from cyclamentrack.jobs.model import (
     Job,
     JobId,
@@ -117,6 +119,13 @@
         """Runs of this step that some worker has."""
         return [task.placement for task in self.tasks if task.placement]
 
+    @property
+    def task_s(self) -> float:
+        """How long a task takes, by those that are done if there are any."""
+        if self.took_s:
+            return statistics.median(self.took_s)
+        return self.step.estimate_s
+
     def record(self) -> bytes:
         """Return the kept form."""
         return encode(
@@ -130,8 +139,7 @@
     job: Job
     queue: Queue
     arrived_at: float
-    chain_s: float
-    tails: tuple[float, ...]
+    chain: Chain
     cancelled: bool = False
     state: JobState | None = None
     steps: dict[tuple[int, int], StepRun] = msgspec.field(
@@ -146,7 +154,7 @@
     def due_by(self) -> float:
         """Steady time by which the job should have ended."""
         queue = self.queue
-        allowed = queue.target_s + queue.stretch * self.chain_s
+        allowed = queue.target_s + queue.stretch * self.chain.total_s
         return self.arrived_at + allowed
 
     @property
@@ -162,34 +170,13 @@
         return [run for step in self.steps.values() for run in step.placed]
 
 
-def longest_chain_s(job: Job, *, step_overhead_s: float = 0.0) -> float:
-    """Return the estimate of the longest chain of steps that wait in turn."""
-    ends: list[float] = []
-    for step in job.steps:
-        begin = max((ends[number] for number in step.after), default=0.0)
-        ends.append(begin + step.estimate_s + step_overhead_s)
-    return max(ends, default=0.0)
-
-
-def chain_tails_s(
-    job: Job, *, step_overhead_s: float = 0.0
-) -> tuple[float, ...]:
-    """Return for each step the longest chain from its start to the end."""
-    tails = [step.estimate_s for step in job.steps]
-    for number in reversed(range(len(job.steps))):
-        for before in job.steps[number].after:
-            own = job.steps[before].estimate_s
-            later = own + step_overhead_s + tails[number]
-            tails[before] = max(tails[before], later)
-    return tuple(tails)
-
-
 class JobBook:
     """All jobs of one slice."""
 
     def __init__(self) -> None:
-        """Start empty."""
+        """Start empty; nothing is known of the pool's room yet."""
         self.jobs: dict[JobId, JobRun] = {}
+        self._room: Room = _unknown_room
         self.closed: dict[JobId, Closed] = {}
         self.cancels: set[JobId] = set()
         self.open_steps: dict[StepName, StepRun] = {}
@@ -198,17 +185,35 @@
         """Add an accepted job; one that is known already is left alone."""
         if job.id in self.jobs or job.id in self.closed:
             return None
-        overhead = queue.permits.decide_s if queue.permits else 0.0
-        entry = JobRun(
-            job=job,
-            queue=queue,
-            arrived_at=now,
-            chain_s=longest_chain_s(job, step_overhead_s=overhead),
-            tails=chain_tails_s(job, step_overhead_s=overhead),
+        chain = reckon(
+            job,
+            permits=queue.permits,
+            room=self._room,
+            task_s=[step.estimate_s for step in job.steps],
         )
+        entry = JobRun(job=job, queue=queue, arrived_at=now, chain=chain)
         self.jobs[job.id] = entry
         return entry
 
+    def see_room(self, room: Room) -> None:
+        """Reckon all chains with the room that the pool has now."""
+        self._room = room
+        for entry in self.jobs.values():
+            self.reckon(entry)
+
+    def reckon(self, entry: JobRun) -> None:
+        """Reckon a chain anew, from done tasks where a step has some."""
+        task_s = [step.estimate_s for step in entry.job.steps]
+        for run in entry.steps.values():
+            if run.took_s:
+                task_s[run.name.step] = run.task_s
+        entry.chain = reckon(
+            entry.job,
+            permits=entry.queue.permits,
+            room=self._room,
+            task_s=task_s,
+        )
+
     def open_due_steps(
         self, entry: JobRun, *, now: float, wall_s: float
     ) -> None:
@@ -320,6 +325,11 @@
         return run
 
 
+def _unknown_room(step: Step) -> int:
+    del step
+    return 0
+
+
 def placements(book: JobBook) -> Iterator[Placement]:
     """Return every run that some worker has."""
     for entry in book.jobs.values():
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -16,7 +16,12 @@
 from cyclamentrack.jobs.gangs import Forecast, GangPlan, needs_plan
 from cyclamentrack.jobs.headroom import Headroom
 from cyclamentrack.jobs.model import StepName, TaskName
-from cyclamentrack.jobs.order import Turn, prospect_of, turn
+from cyclamentrack.jobs.order import (
+    Turn,
+    latest_start,
+    prospect_of,
+    turn,
+)
 from cyclamentrack.jobs.permits import PermitBook
 from cyclamentrack.resources import NOTHING
 
@@ -189,7 +194,7 @@
         count = state.headroom.allowed(
             wanted=len(tasks),
             need_milli=charge(step.step).milli_cores,
-            latest_start=entry.due_by - entry.tails[step.name.step],
+            latest_start=latest_start(entry, step),
             now=state.now,
         )
         return tasks[:count]
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -191,6 +191,15 @@
         """Tell whether some worker left an order unanswered lately."""
         return now - self._unanswered_at < _TROUBLE_S
 
+    def room(self, step: Step) -> int:
+        """Return how many tasks of a step the listed workers hold."""
+        need = charge(step)
+        return sum(
+            need.times_in(worker.entry.capacity)
+            for worker in self.workers.values()
+            if worker.listed
+        )
+
     def see(self, entry: WorkerEntry) -> Worker:
         """Take in a worker's entry; a known one keeps its runs."""
         worker = self.workers.get(entry.id)
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from cyclamentrack.jobs.book import JobRun, StepRun
+from cyclamentrack.jobs.chain import waves
 
 # An end within three times the objective still earns a part.
 _LATE_FACTOR = 3.0
@@ -37,26 +38,34 @@
     job: str
 
 
-def prospect(entry: JobRun, *, latest_start: float, now: float) -> Prospect:
+def prospect(entry: JobRun, *, latest: float, now: float) -> Prospect:
     """Tell what a job can still earn."""
-    if now <= latest_start:
+    if now <= latest:
         return Prospect.IN_TIME
     allowed = entry.due_by - entry.arrived_at
-    if now <= latest_start + (_LATE_FACTOR - 1.0) * allowed:
+    if now <= latest + (_LATE_FACTOR - 1.0) * allowed:
         return Prospect.LATE
     return Prospect.NOTHING
 
 
+def latest_start(entry: JobRun, step: StepRun) -> float:
+    """Return when a step's waiting tasks must start for the job to be due."""
+    number = step.name.step
+    room = entry.chain.rooms[number]
+    own_s = step.task_s * waves(step.step, len(step.idle), room)
+    return entry.due_by - entry.chain.after_s[number] - own_s
+
+
 def prospect_of(entry: JobRun, step: StepRun, now: float) -> bool:
     """Tell whether the job can still earn its whole worth or a part."""
-    latest = entry.due_by - entry.tails[step.name.step]
-    return prospect(entry, latest_start=latest, now=now) < Prospect.NOTHING
+    latest = latest_start(entry, step)
+    return prospect(entry, latest=latest, now=now) < Prospect.NOTHING
 
 
 def turn(entry: JobRun, step: StepRun, now: float) -> Turn:
     """Return when it is a step's turn."""
-    latest = entry.due_by - entry.tails[step.name.step]
-    hope = prospect(entry, latest_start=latest, now=now)
+    latest = latest_start(entry, step)
+    hope = prospect(entry, latest=latest, now=now)
     latest += _PRIORITY_S * entry.queue.priority
     if step.step.lasting:
         latest = step.opened_at
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -263,9 +263,11 @@
         if typical:
             worker.learn_speed(worked, typical, step.step)
         if not current.resumed:
+            entry = self.book.jobs[step.name.job]
+            self.trust.learn(entry.job.queue, step.step, worked)
             step.took_s.append(worked)
-            queue = self.book.jobs[step.name.job].job.queue
-            self.trust.learn(queue, step.step, worked)
+            if len(step.took_s) == 1:
+                self.book.reckon(entry)
         if in_step(worked, typical_s=typical) or not worker.on_trial:
             worker.note_success()
         else:
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -84,6 +84,7 @@
                 self._owner.fleet.lose(worker)
         for row in rows:
             self._take_worker(row)
+        self._owner.book.see_room(self._owner.fleet.room)
 
     def _take_workers(self, changes: Changes) -> None:
         for key in changes.removed:
--- a/packages/cyclamentrack/cyclamentrack/jobs/sickness.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/sickness.py
@@ -111,7 +111,7 @@
         Tasks of one step are alike, so those that are done tell it best.
         """
         if run.took_s:
-            return statistics.median(run.took_s)
+            return run.task_s
         if self._off.get(queue, _UNTRIED_OFF) < _TRUSTED_OFF:
             return run.step.estimate_s
         return 0.0
--- a/packages/cyclamentrack/cyclamentrack/resources.py
+++ b/packages/cyclamentrack/cyclamentrack/resources.py
@@ -58,6 +58,15 @@
             accelerators=max(self.accelerators - other.accelerators, 0),
         )
 
+    def times_in(self, whole: 'Resources') -> int:
+        """Return how many of this amount ``whole`` holds."""
+        pairs = (
+            (self.milli_cores, whole.milli_cores),
+            (self.memory_mib, whole.memory_mib),
+            (self.accelerators, whole.accelerators),
+        )
+        return min((there // one for one, there in pairs if one), default=0)
+
     def dominant_share(self, whole: 'Resources') -> float:
         """Return the largest fraction of ``whole`` over all dimensions."""
         return max(
