Renew permits of the next steps ahead; keep off workers that large steps need

Cause: when a worker became free, the next step waited 0.2 s for a decision on it; and single devices were taken first on the very workers that a waiting gang may run on.

Change: permits of the two next steps are renewed before there is room, on a lane that nobody needs; tasks go first to workers that waiting large steps depend on least.

--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -6,7 +6,7 @@
 workers on which the task failed.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 import msgspec
 
@@ -39,6 +39,8 @@
 _NOTHING_RUNS_S = 2.4
 # A pool of which so much is in use, in some dimension, is busy.
 _BUSY_SHARE = 0.55
+# Steps whose permits are renewed before there is room for them.
+_PREPARED = 2
 # Permits are renewed so long before a gang's room is expected to be free,
 # beyond the time that the decision takes.
 _PERMIT_LEAD_S = 0.35
@@ -59,6 +61,7 @@
     entry: JobRun
     step: StepRun
     workers: list[Worker]
+    ahead: bool = False
 
 
 class _Demand:
@@ -126,6 +129,7 @@
             headroom=_headroom(usable, urgent_queues=self._urgent_queues()),
         )
         ready = self._in_order(now)
+        state.contest(self._claims(ready, state))
         self._holding.clear()
         for entry, step in ready:
             self._place_step(entry, step, state)
@@ -144,6 +148,17 @@
         ready.sort(key=lambda pair: self._turn(*pair, now))
         return ready
 
+    def _claims(
+        self, ready: list[tuple[JobRun, StepRun]], state: '_RoundState'
+    ) -> Iterator[set[WorkerId]]:
+        """Return the workers that each large step or gang depends on."""
+        for entry, step in ready:
+            good = self._permits.of(step.name).good
+            if not good or not needs_plan(step.step, state.usable):
+                continue
+            if prospect_of(entry, step, state.now):
+                yield set(good)
+
     def _turn(
         self, entry: JobRun, step: StepRun, now: float
     ) -> tuple[bool, bool, Turn]:
@@ -165,10 +180,10 @@
             worker for worker in eligible if permit_of(worker) is not None
         ]
         if step.step.gang:
-            chosen = _place_gang(step, allowed)
+            chosen = _place_gang(step, allowed, state.contested)
         else:
             tasks = self._tasks_in_turn(entry, step, state)
-            chosen = _place_each(step, tasks, allowed)
+            chosen = _place_each(step, tasks, allowed, state.contested)
         for task, worker in chosen:
             state.headroom.take(charge(step.step).milli_cores)
             worker.take(task=task.name, run=task.run + 1, step=step.step)
@@ -316,6 +331,28 @@
 
         return lookup
 
+    def _prepare(
+        self, entry: JobRun, step: StepRun, state: '_RoundState'
+    ) -> None:
+        """Renew permits of the next steps before a worker has room for them.
+
+        Otherwise each room that becomes free waits for a decision first.
+        """
+        known = self._permits.of(step.name)
+        stale = [
+            worker
+            for worker in state.usable
+            if worker.entry.id in known.good
+            and not known.fresh(
+                worker.entry.id, now=state.now, life=worker.life
+            )
+        ]
+        if stale and state.prepared < _PREPARED:
+            state.prepared += 1
+            state.outcome.wishes.append(
+                PermitWish(entry=entry, step=step, workers=stale, ahead=True)
+            )
+
     def _wish(self, entry: JobRun, step: StepRun, state: '_RoundState') -> None:
         """Ask for permits on workers that have room for what is left."""
         left = [
@@ -334,7 +371,9 @@
         room_left = self._neglected(step, state) or state.demand.admit(
             step, len(left)
         )
-        if wanted and room_left:
+        if not wanted:
+            self._prepare(entry, step, state)
+        elif room_left:
             state.outcome.wishes.append(
                 PermitWish(
                     entry=entry,
@@ -392,9 +431,21 @@
         self.forecast = forecast
         self.outcome = Round()
         self.given: set[TaskName] = set()
+        self.prepared = 0
+        self.contested: dict[WorkerId, float] = {}
         self.kept: dict[WorkerId, float] = {}
         self.busy = _is_busy(usable)
 
+    def contest(self, claims: Iterable[set[WorkerId]]) -> None:
+        """Note how much large steps depend on each worker.
+
+        One that may run on few workers depends on each of them all the more.
+        """
+        for good in claims:
+            for worker in good:
+                share = 1.0 / len(good)
+                self.contested[worker] = self.contested.get(worker, 0) + share
+
     def keep(self, plan: GangPlan) -> bool:
         """Keep room for a plan, unless too much is kept already."""
         most = max(len(self.usable) // _KEPT_SHARE, 1)
@@ -438,9 +489,12 @@
 
 
 def _place_each(
-    step: StepRun, tasks: list[TaskRun], allowed: list[Worker]
+    step: StepRun,
+    tasks: list[TaskRun],
+    allowed: list[Worker],
+    contested: dict[WorkerId, float],
 ) -> list[tuple[TaskRun, Worker]]:
-    rooms = _Rooms(step=step, workers=allowed)
+    rooms = _Rooms(step=step, workers=allowed, contested=contested)
     chosen: list[tuple[TaskRun, Worker]] = []
     for task in tasks:
         worker = rooms.best(allowed, avoid=task.failed_on)
@@ -452,14 +506,16 @@
 
 
 def _place_gang(
-    step: StepRun, allowed: list[Worker]
+    step: StepRun,
+    allowed: list[Worker],
+    contested: dict[WorkerId, float],
 ) -> list[tuple[TaskRun, Worker]]:
     """Place all members or none, in one rack if they are sensitive to it."""
     groups: list[list[Worker]] = [allowed]
     if step.step.rack_sensitive:
         groups = [*_by_rack(allowed), allowed]
     for group in groups:
-        rooms = _Rooms(step=step, workers=group)
+        rooms = _Rooms(step=step, workers=group, contested=contested)
         chosen: list[tuple[TaskRun, Worker]] = []
         for task in step.tasks:
             worker = rooms.best(group, avoid=task.failed_on)
@@ -482,7 +538,14 @@
 class _Rooms:
     """Rooms of some workers while one step is laid out over them."""
 
-    def __init__(self, *, step: StepRun, workers: list[Worker]) -> None:
+    def __init__(
+        self,
+        *,
+        step: StepRun,
+        workers: list[Worker],
+        contested: dict[WorkerId, float],
+    ) -> None:
+        self._contested = contested
         self._step = step.step
         self._need = charge(step.step)
         self._free = {worker.entry.id: worker.free for worker in workers}
@@ -517,7 +580,7 @@
 
     def _cost(
         self, worker: Worker, avoid: set[WorkerId]
-    ) -> tuple[bool, bool, bool, int, float]:
+    ) -> tuple[bool, bool, bool, float, int, float]:
         step = self._step
         far = bool(step.data_rack) and step.data_rack != worker.entry.rack
         disturbed = step.serving_target_ms > 0 and any(
@@ -527,6 +590,7 @@
             worker.entry.id in avoid,
             far,
             disturbed,
+            self._contested.get(worker.entry.id, 0.0),
             self._devices_left(worker),
             self._rest(worker) * worker.slowness,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -365,6 +365,7 @@
                     workers={
                         worker.entry.id: worker.life for worker in wish.workers
                     },
+                    ahead=wish.ahead,
                 )
                 for wish in outcome.wishes
                 if wish.entry.queue.permits is not None
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -66,12 +66,14 @@
 class PermitCall(msgspec.Struct, frozen=True, kw_only=True):
     """A call that a step wishes for.
 
-    ``workers`` gives each one's life, since a permit ends with it.
+    ``workers`` gives each one's life, since a permit ends with it. A call
+    that is ``ahead`` of its need waits for all others, and for a second lane.
     """
 
     step: StepName
     policy: PermitPolicy
     workers: dict[WorkerId, int]
+    ahead: bool = False
 
     @property
     def named(self) -> list[WorkerId]:
@@ -124,13 +126,15 @@
     def _use_lanes(self) -> None:
         lanes = self._lanes()
         now = trio.current_time()
-        for wish in self._wishes:
+        for wish in sorted(self._wishes, key=lambda one: one.ahead):
             known = self.of(wish.step)
             if known.asking or now < known.not_before:
                 continue
             lane = self._free_lane(lanes, wish)
             if lane is None:
                 continue
+            if wish.ahead and len(lanes) - len(self._busy) <= 1:
+                return
             known.asking = True
             self._busy.add(lane)
             self._nursery.start_soon(self._ask, wish, lane, lanes[lane])
