Give all members of a gang one checkpoint; split the dispatcher

Cause, found by reading: a look at one worker kept a checkpoint for the member there alone, so a gang that broke began again with unequal checkpoints, while all of its members have to carry the same value. A scenario with a gang on several workers, one of which begins a new life, failed on it before.

Change: any member's checkpoint is kept for its whole gang. The dispatcher is split without a change of behaviour: layout (which worker), rounds (what a round knows and keeps), wishes (plans and permits).

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -15,6 +15,14 @@
     Then the job is shown as "completed" by every node
     And all its starts came within 0.5 seconds
 
+  Scenario: A gang that broke goes on from one checkpoint
+    When a gang of 3 tasks of 4 seconds saves its progress
+    And 2.2 seconds go by
+    And the first worker that runs a task begins a new life
+    And 8 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
   Scenario: A task that always fails ends its job as failed
     When a job whose tasks fail 9 times is submitted
     And 8 seconds go by
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -66,6 +66,22 @@
     _submit(context, [make_step(count, gang=True, cores=6)])
 
 
+@when('a gang of {count:d} tasks of {work:g} seconds saves its progress')
+def submit_saving_gang(context, count, work):
+    step = make_step(count, gang=True, cores=10, checkpointing=True)
+    _submit(context, [step], work_s=work)
+
+
+@when('the first worker that runs a task begins a new life')
+def restart_first(context):
+    world = _world(context)
+    for number, worker in enumerate(list(world.workers.workers.values())):
+        if worker.runs:
+            worker.crash(life=2)
+            world.add_worker(number, life=2)
+            return
+
+
 @when('a job whose tasks fail {times:d} times is submitted')
 def submit_failing(context, times):
     _submit(context, [make_step(2)], fails=times)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -36,6 +36,7 @@
 _LOST_S = 0.8
 _STOP_S = 0.3
 _TICK_S = 0.02
+_CHECKPOINT_S = 0.5
 _MS_PER_S = 1000
 
 
@@ -147,7 +148,7 @@
                 RunReport(
                     task=task,
                     run=number,
-                    checkpoint='',
+                    checkpoint=self._checkpoint(task, run, now),
                     percent=self._percent(task, run, now),
                     reading=0.0,
                 )
@@ -156,6 +157,13 @@
             ended=tuple(self.ends),
         )
 
+    def _checkpoint(self, task: TaskName, run: MemoryRun, now: float) -> str:
+        """Return a value that differs from member to member of a gang."""
+        if not self._fleet.behaviour(task).step.checkpointing:
+            return ''
+        saved = int((now - run.began) / _CHECKPOINT_S)
+        return f'{task.index}-{run.order.run}-{saved}' if saved else ''
+
     def _percent(self, task: TaskName, run: MemoryRun, now: float) -> float:
         work_s = self._work_s(task)
         return min(100.0, 100 * (now - run.began) / work_s)
@@ -173,6 +181,8 @@
             return End.STOPPED
         if self.fails_all or key[1] <= behaviour.fails:
             return End.FAILED
+        if behaviour.step.gang and self._fleet.is_broken(key):
+            return End.BROKEN
         if behaviour.step.lasting or now - run.began < self._work_s(key[0]):
             return None
         return End.DONE
@@ -213,6 +223,7 @@
         self.starts: list[tuple[float, TaskName, int, WorkerId]] = []
         self.broken: list[str] = []
         self.done: set[TaskName] = set()
+        self._checkpoints: dict[tuple[str, int, int], str] = {}
 
     def add(self, entry: WorkerEntry) -> MemoryWorker:
         """Add a worker."""
@@ -234,6 +245,7 @@
     def note_start(self, worker: MemoryWorker, order: StartOrder) -> None:
         """Record a start and what it breaks."""
         task = order.task
+        self._check_checkpoint(order)
         self.starts.append(
             (trio.current_time(), task, order.run, worker.entry.id),
         )
@@ -248,6 +260,18 @@
         if not used.fits(worker.entry.capacity) and used != NOTHING:
             self.broken.append(f'{worker.entry.id} is over what it has')
 
+    def is_broken(self, key: tuple[TaskName, int]) -> bool:
+        """Tell whether another member of a gang's run has ended undone."""
+        name, run = key
+        running = {
+            one for worker in self.workers.values() for one in worker.runs
+        }
+        return any(
+            (task, number) not in running and task not in self.done
+            for _, task, number, _ in self.starts
+            if number == run and task.job == name.job and task.step == name.step
+        )
+
     def note_end(self, worker: MemoryWorker, task: TaskName, end: End) -> None:
         """Record an end."""
         del worker
@@ -258,6 +282,16 @@
         """Return the way to the workers."""
         return MemoryOrders(workers=self)
 
+    def _check_checkpoint(self, order: StartOrder) -> None:
+        """Record members of one gang run that begin at unequal points."""
+        task = order.task
+        if not self.behaviour(task).step.gang:
+            return
+        key = (task.job, task.step, order.run)
+        first = self._checkpoints.setdefault(key, order.checkpoint)
+        if first != order.checkpoint:
+            self.broken.append(f'{task} begins at another checkpoint')
+
 
 class MemoryOrders:
     """Orders to the workers of a test."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -232,6 +232,15 @@
             return None
         return step.tasks[name.index]
 
+    def save(self, name: TaskName, checkpoint: str) -> None:
+        """Note a task's checkpoint; any member's holds for its whole gang."""
+        step = self.step_of(name)
+        if step is None:
+            return
+        saved = step.tasks if step.step.gang else [step.tasks[name.index]]
+        for task in saved:
+            task.checkpoint = checkpoint
+
     def step_of(self, name: TaskName) -> StepRun | None:
         """Return the opened step of a task."""
         entry = self.jobs.get(name.job)
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -280,13 +280,12 @@
         worker: Worker,
         report: EndReport,
     ) -> None:
-        members = step.tasks if step.step.gang else [task]
         if report.checkpoint:
-            for member in members:
-                member.checkpoint = report.checkpoint
+            self.book.save(report.task, report.checkpoint)
         if report.end is not End.FAILED:
             return
         self._blame(worker, task)
+        members = step.tasks if step.step.gang else [task]
         for member in members:
             member.failures += 1
         entry = self.book.jobs[step.name.job]
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -0,0 +1,200 @@
+"""What one round of decisions knows, has given away, keeps, and asks for."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
+from cyclamentrack.jobs.fleet import Worker, charge
+from cyclamentrack.jobs.gangs import Forecast, GangPlan
+from cyclamentrack.jobs.headroom import Headroom
+from cyclamentrack.jobs.layout import with_room
+from cyclamentrack.jobs.model import TaskName
+from cyclamentrack.jobs.order import latest_start
+from cyclamentrack.resources import NOTHING
+
+# Of the workers one in so many has room kept at a time, beyond one plan's.
+_KEPT_SHARE = 3
+# Room is kept for starts that are expected within this time, seconds.
+_HORIZON_S = 6.0
+# A job that has nothing running beside free room for 3 s counts as lost, and
+# permits take up to half a second. So room that is kept beyond that time is
+# open to it, after it has waited for a while.
+_NEGLECT_S = 1.2
+_NOTHING_RUNS_S = 2.4
+# A pool of which so much is in use, in some dimension, is busy.
+_BUSY_SHARE = 0.55
+
+
+class Assignment(msgspec.Struct, frozen=True, kw_only=True):
+    """One task and the worker that it was given to."""
+
+    step: StepRun
+    task: TaskRun
+    worker: Worker
+    permit: str
+
+
+class PermitWish(msgspec.Struct, frozen=True, kw_only=True):
+    """A step that can't be placed without permits on some of these."""
+
+    entry: JobRun
+    step: StepRun
+    workers: list[Worker]
+    ahead: bool = False
+
+
+class Demand:
+    """What this round's wishes would take of the room that is free.
+
+    Steps for which no room would be left don't wish: their permits would
+    end before they could be used, and the service's time is scarce.
+    """
+
+    def __init__(self, usable: list[Worker]) -> None:
+        """Begin with the room that is free."""
+        self._cores = sum(worker.free.milli_cores for worker in usable)
+        self._devices = sum(worker.free.accelerators for worker in usable)
+
+    def admit(self, step: StepRun, count: int) -> bool:
+        """Count a step's wish, unless nothing is left for it."""
+        need = charge(step.step)
+        if need.milli_cores and self._cores <= 0:
+            return False
+        if need.accelerators and self._devices <= 0:
+            return False
+        self._cores -= need.milli_cores * count
+        self._devices -= need.accelerators * count
+        return True
+
+
+class Round(msgspec.Struct, kw_only=True):
+    """What one round decided."""
+
+    assignments: list[Assignment] = msgspec.field(default_factory=list)
+    wishes: list[PermitWish] = msgspec.field(default_factory=list)
+
+
+class RoundState:
+    """What one round has given away, keeps, and asks for."""
+
+    def __init__(
+        self,
+        *,
+        now: float,
+        book: JobBook,
+        usable: list[Worker],
+        suspects: list[Worker],
+        urgent_queues: bool,
+    ) -> None:
+        """Begin with all room open and nothing given."""
+        self.headroom = _headroom(usable, urgent_queues=urgent_queues)
+        self.now = now
+        self.usable = usable
+        self.suspects = suspects
+        self.demand = Demand(usable)
+        self.forecast = Forecast(book=book, workers=usable, now=now)
+        self.outcome = Round()
+        self.given: set[TaskName] = set()
+        self.prepared = 0
+        self.contested: dict[WorkerId, float] = {}
+        self.kept: dict[WorkerId, float] = {}
+        self._busy = _is_busy(usable)
+        self._book = book
+
+    def contest(self, claims: Iterable[set[WorkerId]]) -> None:
+        """Note how much large steps depend on each worker.
+
+        One that may run on few workers depends on each of them all the more.
+        """
+        for good in claims:
+            for worker in good:
+                share = 1.0 / len(good)
+                self.contested[worker] = self.contested.get(worker, 0) + share
+
+    def keep(self, plan: GangPlan) -> bool:
+        """Keep room for a plan, unless too much is kept already."""
+        most = max(len(self.usable) // _KEPT_SHARE, 1)
+        wanted = len(self.kept) + len(plan.starts)
+        if not plan.starts or (self.kept and wanted > most):
+            return False
+        if max(plan.starts.values()) > self.now + _HORIZON_S:
+            return False
+        self.kept.update(plan.starts)
+        return True
+
+    def open_to(self, step: StepRun, worker: Worker) -> bool:
+        """Tell whether a worker's room may be used by a step.
+
+        Room that is kept for a gang takes only what ends before its start.
+        """
+        until = self.kept.get(worker.entry.id)
+        if until is None:
+            return True
+        end = self.now + step.step.estimate_s * worker.slowness
+        return not step.step.lasting and end <= until
+
+    def tasks_in_turn(self, entry: JobRun, step: StepRun) -> list[TaskRun]:
+        """Return the tasks that may be placed beside urgent queues' room."""
+        tasks = step.idle
+        if self.neglected(step):
+            return tasks[:1]
+        if entry.queue.priority == 0 or step.step.lasting:
+            return tasks
+        count = self.headroom.allowed(
+            wanted=len(tasks),
+            need_milli=charge(step.step).milli_cores,
+            latest_start=latest_start(entry, step),
+            now=self.now,
+        )
+        return tasks[:count]
+
+    def eligible(self, step: StepRun) -> list[Worker]:
+        """Return the workers that have room which is kept for nobody else.
+
+        A job that has waited with nothing running may use room that is kept
+        for too long, and workers on probation, unless the pool is busy.
+        """
+        roomy = with_room(step, self.usable)
+        found = [worker for worker in roomy if self.open_to(step, worker)]
+        if found or not self.neglected(step):
+            return found
+        idle_since = self._book.jobs[step.name.job].idle_since
+        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
+        kept_long = [
+            worker for worker in roomy if self.kept[worker.entry.id] > bound
+        ]
+        return kept_long or with_room(step, self.suspects)
+
+    def within_reach(self, step: StepRun) -> list[Worker]:
+        """Return the workers that a step may wait for."""
+        if self.neglected(step):
+            return [*self.usable, *self.suspects]
+        return self.usable
+
+    def neglected(self, step: StepRun) -> bool:
+        """Tell whether a job has nothing running though the pool has room."""
+        entry = self._book.jobs[step.name.job]
+        since = max(entry.idle_since, step.opened_at)
+        if self._busy or self.now - since < _NEGLECT_S:
+            return False
+        return not entry.placed
+
+
+def _headroom(usable: list[Worker], *, urgent_queues: bool) -> Headroom:
+    return Headroom(
+        whole_milli=sum(one.entry.capacity.milli_cores for one in usable),
+        free_milli=sum(one.free.milli_cores for one in usable),
+        urgent_queues=urgent_queues,
+    )
+
+
+def _is_busy(usable: list[Worker]) -> bool:
+    """Tell whether most processors or most accelerators are in use."""
+    whole = NOTHING
+    used = NOTHING
+    for one in usable:
+        whole = whole.plus(one.entry.capacity)
+        used = used.plus(one.used)
+    return used.dominant_share(whole) >= _BUSY_SHARE
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -211,7 +211,7 @@
         placement.percent = run.percent
         placement.reading = run.reading
         if run.checkpoint:
-            task.checkpoint = run.checkpoint
+            self._owner.book.save(run.task, run.checkpoint)
 
     async def _stop_stray(self, run: RunReport) -> None:
         owner = self._owner
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -0,0 +1,156 @@
+"""For which steps room is kept, and which permits are asked for, when.
+
+The permit service is slow and a permit ends soon. So permits are asked for on
+workers that have room, on those whose room is kept for the moment at which it
+is expected to be free, and ahead for the steps that are next.
+"""
+
+from cyclamentrack.jobs.book import JobRun, StepRun
+from cyclamentrack.jobs.fleet import Worker, charge
+from cyclamentrack.jobs.gangs import GangPlan
+from cyclamentrack.jobs.layout import suits
+from cyclamentrack.jobs.order import prospect_of
+from cyclamentrack.jobs.permits import PermitBook
+from cyclamentrack.jobs.rounds import PermitWish, RoundState
+
+_NEVER = float('inf')
+# Steps whose permits are renewed before there is room for them.
+_PREPARED = 2
+# Permits are renewed so long before a gang's room is expected to be free,
+# beyond the time that the decision takes.
+_PERMIT_LEAD_S = 0.35
+
+
+class Wishes:
+    """Plans and wishes of the steps that a round could not place."""
+
+    def __init__(self, *, permits: PermitBook) -> None:
+        """Ask on the grounds of the permits that are known."""
+        self._permits = permits
+
+    def plan(self, entry: JobRun, step: StepRun, state: RoundState) -> bool:
+        """Keep room for tasks that wait, and renew their permits in time.
+
+        Returns whether room is kept for the step.
+        """
+        left = [task for task in step.idle if task.name not in state.given]
+        if not left:
+            return False
+        known = self._permits.of(step.name)
+        candidates = [
+            worker
+            for worker in state.within_reach(step)
+            if worker.entry.id not in known.bad
+            and (not known.good or worker.entry.id in known.good)
+            and worker.entry.id not in state.kept
+            and suits(step, worker)
+        ]
+        plan = state.forecast.plan(step.step, candidates, count=len(left))
+        permitted = bool(known.good) or entry.queue.permits is None
+        useful = permitted and prospect_of(entry, step, state.now)
+        if entry.queue.permits is not None:
+            self._renew_for_plan(entry, step, plan, state)
+        return useful and state.keep(plan)
+
+    def wish(self, entry: JobRun, step: StepRun, state: RoundState) -> None:
+        """Ask for permits on workers that have room for what is left."""
+        left = [
+            task
+            for task in state.tasks_in_turn(entry, step)
+            if task.name not in state.given
+        ]
+        if entry.queue.permits is None or not left:
+            return
+        bad = self._permits.of(step.name).bad
+        wanted = [
+            worker
+            for worker in state.eligible(step)
+            if worker.entry.id not in bad
+        ]
+        room_left = state.neglected(step) or state.demand.admit(step, len(left))
+        if not wanted:
+            self._prepare(entry, step, state)
+        elif room_left:
+            state.outcome.wishes.append(
+                PermitWish(
+                    entry=entry,
+                    step=step,
+                    workers=_distinct(
+                        [
+                            *wanted,
+                            *self._unknown(step, state),
+                        ]
+                    ),
+                ),
+            )
+
+    def _renew_for_plan(
+        self,
+        entry: JobRun,
+        step: StepRun,
+        plan: GangPlan,
+        state: RoundState,
+    ) -> None:
+        """Ask for permits that will hold when the plan's moments come."""
+        policy = entry.queue.permits
+        known = self._permits.of(step.name)
+        decide_s = policy.decide_s if policy else 0
+        soon = state.now + decide_s + _PERMIT_LEAD_S
+        due = [
+            worker
+            for worker in state.within_reach(step)
+            if plan.starts.get(worker.entry.id, _NEVER) <= soon
+            and not known.fresh(
+                worker.entry.id, now=state.now, life=worker.life
+            )
+        ]
+        unknown = self._unknown(step, state)
+        if due or (unknown and not known.good):
+            state.outcome.wishes.append(
+                PermitWish(
+                    entry=entry,
+                    step=step,
+                    workers=_distinct([*due, *unknown]),
+                ),
+            )
+
+    def _unknown(self, step: StepRun, state: RoundState) -> list[Worker]:
+        """Return workers of which it isn't known whether they may run it.
+
+        Naming one more costs little beside the call itself, so the first
+        call names all, whether they have room now or not.
+        """
+        known = self._permits.of(step.name)
+        need = charge(step.step)
+        return [
+            worker
+            for worker in state.usable
+            if worker.entry.id not in known.bad
+            and worker.entry.id not in known.good
+            and suits(step, worker)
+            and need.fits(worker.entry.capacity)
+        ]
+
+    def _prepare(self, entry: JobRun, step: StepRun, state: RoundState) -> None:
+        """Renew permits of the next steps before a worker has room for them.
+
+        Otherwise each room that becomes free waits for a decision first.
+        """
+        known = self._permits.of(step.name)
+        stale = [
+            worker
+            for worker in state.usable
+            if worker.entry.id in known.good
+            and not known.fresh(
+                worker.entry.id, now=state.now, life=worker.life
+            )
+        ]
+        if stale and state.prepared < _PREPARED:
+            state.prepared += 1
+            state.outcome.wishes.append(
+                PermitWish(entry=entry, step=step, workers=stale, ahead=True)
+            )
+
+
+def _distinct(workers: list[Worker]) -> list[Worker]:
+    return list({worker.entry.id: worker for worker in workers}.values())
