Keep jobs through peers when the store fails here; yield a slice it left

The owner's slice stood still for 2.2 to 3 s until its lease had lapsed and its turn had come to a node with a store.

Change: keeping is a module of its own; each way (here, three peers) is tried once, then again while the outcome is uncertain. 503 still means that every way has refused. An owner whose renewals fail for 0.55 s asks its peers to claim; the claim fences it as any other does.

Ruled out: readiness (a node that forwards serves its callers).

Three scenarios, each failed before.

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -131,3 +131,24 @@
     When a job of the steps "4, 2 after 0" is submitted through the last node
     And 3 seconds go by
     Then the job is shown as "completed" by every node
+
+  Scenario: A node whose calls the store resets has a peer keep the job
+    Given the store resets the last node
+    When a job of the steps "2" is submitted through the last node
+    And 4 seconds go by
+    Then the job is shown as "completed" by every node
+
+  Scenario Outline: An owner that loses the store yields to a peer at once
+    When a job of the steps "4, 4 after 0" is submitted
+    And 0.5 seconds go by
+    And the store <does> the owner
+    And 1.2 seconds go by
+    Then another node owns the pool
+    When 6 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+    Examples:
+      | does       |
+      | resets     |
+      | turns away |
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -163,12 +163,26 @@
 
 
 @when('the store turns the owner away')
+@when('the store turns away the owner')
 def refuse_owner(context):
     world = _world(context)
     context.former = world.owner()
     world.rows.refusing.add(context.former)
 
 
+@given('the store resets the last node')
+def reset_last(context):
+    world = _world(context)
+    world.rows.resetting.add(list(world.services)[-1])
+
+
+@when('the store resets the owner')
+def reset_owner(context):
+    world = _world(context)
+    context.former = world.owner()
+    world.rows.resetting.add(context.former)
+
+
 @when('every worker but one drains')
 def drain_workers(context):
     world = _world(context)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -31,6 +31,7 @@
         self.version = 0
         self.down = False
         self.refusing: set[str] = set()
+        self.resetting: set[str] = set()
         self.lose_replies = 0
         self.late_writes = 0
         self.feed_delay_s = 0.0
@@ -168,6 +169,8 @@
         await trio.sleep(_CALL_S)
         if self._node in self._rows.refusing:
             raise StoreRefusedError(status=503)
+        if self._node in self._rows.resetting:
+            raise StoreUncertainError(message='connection reset')
         if self._rows.down:
             await self._lose()
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -23,8 +23,10 @@
     CancelKept,
     JobKept,
     PermitsAre,
+    Verdict,
+    YieldSlice,
 )
-from cyclamentrack.jobs.model import Configuration, StepName
+from cyclamentrack.jobs.model import Configuration, Shape, StepName
 from cyclamentrack.jobs.owner import Collaborators, SliceOwner
 from cyclamentrack.jobs.permits import LaneCall
 from cyclamentrack.jobs.ports import (
@@ -68,6 +70,12 @@
 _MEMBERS_WAIT_S = 4.0
 _RETRY_S = 0.2
 _HANDOVER_S = 1.5
+# A renewal that takes longer has failed; a slow store takes a quarter.
+_RENEW_WAIT_S = 0.6
+# Replies of the store are lost at times. An owner that it has left for longer
+# than this asks its peers to claim, rather than wait for its lease to lapse.
+_YIELD_AFTER_S = 0.55
+_YIELD_WAIT_S = 0.8
 _PEER_SLACK_S = 0.2
 _TELL_S = 0.5
 
@@ -144,12 +152,19 @@
             self._nursery.start_soon(self._send, address, message)
 
     def peer_addresses(self) -> list[str]:
-        """Return the addresses of all other members."""
-        return [
-            member.address
-            for name, member in sorted(self.members.items())
-            if name != self.me.node
-        ]
+        """Return the addresses of all other members, the next one first."""
+        own = self.me.node
+        names = sorted(self.members, key=lambda name: (name < own, name))
+        return [self.members[name].address for name in names if name != own]
+
+    async def take_over(self, pool: PoolName, claim: str) -> bool:
+        """Claim a slice whose owner can't reach the store and says so."""
+        seen = self.board.seen.get(pool)
+        known = seen is not None and seen.lease.claim == claim
+        if self.leaving or not known or self.board.blind or not self._nursery:
+            return False
+        await self._claim(pool, self._nursery)
+        return pool in self.owners
 
     def lanes(self, pool: PoolName) -> dict[str, LaneCall]:
         """Return a slice's ways to the permit service; ``''`` is its own.
@@ -401,20 +416,58 @@
                 self._keepers.pop(pool)
 
     async def _renew(self, owner: SliceOwner, keeper: LeaseKeeper) -> None:
+        failing_since: float | None = None
         while True:
+            began = trio.current_time()
+            if await self._renew_once(owner, keeper):
+                failing_since = None
+                await trio.sleep(RENEW_S)
+                continue
+            if failing_since is None:
+                failing_since = began
+            elif trio.current_time() - failing_since > _YIELD_AFTER_S:
+                await self._yield(owner)
+            await trio.sleep(_RETRY_S)
+
+    async def _renew_once(self, owner: SliceOwner, keeper: LeaseKeeper) -> bool:
+        waiting = None
+        shapes: tuple[Shape, ...] = ()
+        if owner.recovered.is_set():
+            waiting = owner.book.waiting()
+            shapes = owner.fleet.shapes
+        with trio.move_on_after(_RENEW_WAIT_S):
             try:
-                if owner.recovered.is_set():
-                    await keeper.renew(
-                        waiting=owner.book.waiting(),
-                        shapes=owner.fleet.shapes,
-                    )
-                else:
-                    await keeper.renew(waiting=None)
+                await keeper.renew(waiting=waiting, shapes=shapes)
             except (StoreUncertainError, StoreRefusedError) as error:
                 _log.warning(
                     'lease not renewed pool=%s: %s', owner.claim.pool, error
                 )
-            await trio.sleep(RENEW_S)
+                return False
+            return True
+        _log.warning('lease not renewed pool=%s: no answer', owner.claim.pool)
+        return False
+
+    async def _yield(self, owner: SliceOwner) -> None:
+        """Have a peer claim a slice that can't be kept here.
+
+        Raises ``OwnershipLostError`` once one has; if none can, the store
+        answers nobody, and the slice stays.
+        """
+        claim = owner.claim
+        message = YieldSlice(pool=claim.pool, claim=claim.id)
+        for address in self.peer_addresses():
+            try:
+                reply = await self.parts.peers.call(
+                    address=address, message=message, timeout_s=_YIELD_WAIT_S
+                )
+            except PeerSilentError:
+                continue
+            match reply:
+                case Verdict(kept='kept'):
+                    _log.info(
+                        'slice yielded pool=%s to=%s', claim.pool, address
+                    )
+                    raise OwnershipLostError(part=claim.pool)
 
     async def _release(self, pool: PoolName) -> None:
         owner = self.owners[pool]
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -57,13 +57,18 @@
         self._store = store
         self._blind_since: float | None = None
 
+    @property
+    def blind(self) -> bool:
+        """Whether the store doesn't answer this node."""
+        return self._blind_since is not None
+
     def due(self, pool: PoolName, *, node: str, now: float) -> bool:
         """Tell whether a slice should be claimed.
 
         An unchanged lease counts only while the store was watched all along.
         A lease of this node's own earlier life has no owner for certain.
         """
-        if not self.loaded.is_set() or self._blind_since is not None:
+        if not self.loaded.is_set() or self.blind:
             return False
         seen = self.seen.get(pool)
         if seen is None or seen.lease.released or seen.lease.node == node:
--- a/packages/cyclamentrack/cyclamentrack/jobs/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/messages.py
@@ -77,6 +77,13 @@
     job: JobId
 
 
+class YieldSlice(msgspec.Struct, frozen=True, kw_only=True, tag='yield'):
+    """Claim a slice from its owner, which the store has left."""
+
+    pool: PoolName
+    claim: str
+
+
 class Verdict(msgspec.Struct, frozen=True, kw_only=True, tag='verdict'):
     """What came of a forwarded request, as a ``Kept`` value."""
 
@@ -94,5 +101,6 @@
     | CancelKept
     | ForwardSubmit
     | ForwardCancel
+    | YieldSlice
     | Verdict
 )
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -4,18 +4,22 @@
 owner. The state of a job is its owner's to tell.
 """
 
-import enum
 import logging
 
 import msgspec
-import trio
 
-from cyclamentrack.codec import decode, encode
+from cyclamentrack.codec import decode
 from cyclamentrack.errors import PeerSilentError, StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.book import Closed
 from cyclamentrack.jobs.cell import JobCell
 from cyclamentrack.jobs.fleet import could_hold
+from cyclamentrack.jobs.keeping import (
+    Keeper,
+    Kept,
+    cancel_batch,
+    job_batch,
+)
 from cyclamentrack.jobs.messages import (
     AskJobState,
     AskPermits,
@@ -29,39 +33,17 @@
     PermitsAre,
     ShownIs,
     Verdict,
+    YieldSlice,
 )
 from cyclamentrack.jobs.model import Job, JobId, JobState, Queue, QueueName
-from cyclamentrack.jobs.ports import (
-    Batch,
-    Expect,
-    StoreRefusedError,
-)
-from cyclamentrack.jobs.records import cancel_key, closed_key, job_key
+from cyclamentrack.jobs.ports import StoreRefusedError
+from cyclamentrack.jobs.records import closed_key, job_key
 
 _log = logging.getLogger(__name__)
 
 _OWNER_ANSWER_S = 0.25
-_FORWARD_S = 1.2
 _PEER_ANSWER_S = 0.5
 _PEERS_ASKED = 3
-_RETRY_S = 0.1
-# Part of a caller's patience that is left for the answer's way back.
-_ANSWER_MARGIN_S = 0.3
-
-
-class Kept(enum.Enum):
-    """What came of a request that changes something.
-
-    ``REFUSED`` means that nothing was kept nor will be; ``UNKNOWN`` that
-    nobody can tell; ``GONE`` that there is no such job; ``IMPOSSIBLE`` that
-    no worker of the pool could ever hold one of its tasks.
-    """
-
-    KEPT = 'kept'
-    REFUSED = 'refused'
-    UNKNOWN = 'unknown'
-    GONE = 'gone'
-    IMPOSSIBLE = 'impossible'
 
 
 class Shown(msgspec.Struct, frozen=True, kw_only=True):
@@ -78,14 +60,19 @@
         """Work on one node's view of the cell."""
         self._cell = cell
         self._store = cell.parts.store
+        self._keeper = Keeper(
+            store=cell.parts.store,
+            peers=cell.parts.peers,
+            addresses=cell.peer_addresses,
+        )
 
     async def submit(self, job: Job, *, patience_s: float) -> Kept:
         """Keep a job; one of the same id that is kept already is the same."""
         if not self._could_run(job):
             return Kept.IMPOSSIBLE
-        kept = await self._keep_job(job, patience_s)
-        if kept is Kept.REFUSED:
-            kept = await self._forward(ForwardSubmit(job=job))
+        kept = await self._keeper.keep(
+            job_batch(job), ForwardSubmit(job=job), patience_s=patience_s
+        )
         if kept is Kept.KEPT:
             self._cell.tell_owner(job.pool, JobKept(job=job))
         return kept
@@ -97,12 +84,11 @@
         shown = await self.show(queue=queue, job=job)
         if shown.known and shown.state is None:
             return Kept.GONE
-        batch = Batch(puts=((cancel_key(queue.pool, job), b'1'),))
-        kept = await self._keep(batch, patience_s)
-        if kept is Kept.REFUSED:
-            kept = await self._forward(
-                ForwardCancel(pool=queue.pool, queue=queue.name, job=job),
-            )
+        kept = await self._keeper.keep(
+            cancel_batch(queue.pool, job),
+            ForwardCancel(pool=queue.pool, queue=queue.name, job=job),
+            patience_s=patience_s,
+        )
         if kept is Kept.KEPT:
             message = CancelKept(pool=queue.pool, job=job)
             self._cell.tell_owner(queue.pool, message)
@@ -146,13 +132,16 @@
             case ForwardShow(pool=pool, job=job):
                 return await self._tell_shown(pool, job)
             case ForwardSubmit(job=job):
-                return Verdict(
-                    kept=(await self._keep_job(job, _FORWARD_S)).value
-                )
+                kept = await self._keeper.try_here(job_batch(job))
+                return Verdict(kept=kept.value)
             case ForwardCancel(pool=pool, job=job):
-                batch = Batch(puts=((cancel_key(pool, job), b'1'),))
-                kept = await self._keep(batch, _FORWARD_S)
+                kept = await self._keeper.try_here(cancel_batch(pool, job))
                 return Verdict(kept=kept.value)
+            case YieldSlice(pool=pool, claim=claim):
+                taken = await self._cell.take_over(pool, claim)
+                return Verdict(
+                    kept=(Kept.KEPT if taken else Kept.REFUSED).value
+                )
             case _:
                 return Verdict(kept=Kept.REFUSED.value)
 
@@ -170,14 +159,6 @@
             return True
         return all(could_hold(step, shapes) for step in job.steps)
 
-    async def _keep_job(self, job: Job, patience_s: float) -> Kept:
-        key = job_key(job.pool, job.id)
-        batch = Batch(
-            expected=(Expect(key, 0),),
-            puts=((key, encode(job)),),
-        )
-        return await self._keep(batch, patience_s)
-
     def _tell_state(self, pool: PoolName, job: JobId) -> JobStateIs:
         owner = self._cell.owners.get(pool)
         if owner is None or not owner.recovered.is_set():
@@ -220,37 +201,6 @@
             answered=True, granted=found.granted, valid_s=found.valid_s
         )
 
-    async def _keep(self, batch: Batch, patience_s: float) -> Kept:
-        """Commit until it is certain or patience ends."""
-        uncertain = False
-        with trio.move_on_after(max(patience_s - _ANSWER_MARGIN_S, 0.1)):
-            while True:
-                try:
-                    await self._store.commit(batch)
-                except StoreUncertainError:
-                    uncertain = True
-                except StoreRefusedError:
-                    if not uncertain:
-                        return Kept.REFUSED
-                else:
-                    return Kept.KEPT
-                await trio.sleep(_RETRY_S)
-        return Kept.UNKNOWN
-
-    async def _forward(self, message: JobCellMessage) -> Kept:
-        """Have a peer keep what the store refuses from here."""
-        for address in self._cell.peer_addresses()[:_PEERS_ASKED]:
-            try:
-                reply = await self._cell.parts.peers.call(
-                    address=address, message=message, timeout_s=_FORWARD_S
-                )
-            except PeerSilentError:
-                return Kept.UNKNOWN
-            match reply:
-                case Verdict(kept=kept) if kept != Kept.REFUSED.value:
-                    return Kept(kept)
-        return Kept.REFUSED
-
     async def _ask_owner(self, pool: PoolName, job: JobId) -> JobState | None:
         address = self._cell.owner_address(pool)
         if address is None:
