Hand a slice to a peer at once; ask a store in doubt before writing

Change: a leaving owner asks a peer to claim, an idle one first; a lease that was released isn't renewed. After a write without an answer a node asks the store with a read before the next write, so what it then refuses was never sent and 503 is true.

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -152,3 +152,30 @@
       | does       |
       | resets     |
       | turns away |
+
+  Scenario: A node that leaves hands its slice over at once
+    When a job of the steps "4, 4 after 0" is submitted
+    And 0.5 seconds go by
+    And the owner leaves
+    And 0.3 seconds go by
+    Then another node owns the pool
+    When 5 seconds go by
+    Then the job is shown as "completed" by every node
+    And each of its tasks was started 1 time at most
+
+  Scenario: A lease that was released is not renewed any more
+    Given the store turns all nodes away but the owner
+    When the owner leaves
+    And 2 seconds go by
+    And the store serves all nodes
+    And 1.5 seconds go by
+    Then another node owns the pool
+
+  Scenario: Once a store is known to be down, callers are told so truthfully
+    When the store goes down
+    Then a job that is submitted now is unknown
+    And a job that is submitted now is refused
+    When the store is back
+    And 5 seconds go by
+    Then nothing of the last job is known
+    And a job that is submitted now is kept
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -156,33 +156,6 @@
     _world(context).rows.drop_history()
 
 
-@given('the store turns the last node away')
-def refuse_last(context):
-    world = _world(context)
-    world.rows.refusing.add(list(world.services)[-1])
-
-
-@when('the store turns the owner away')
-@when('the store turns away the owner')
-def refuse_owner(context):
-    world = _world(context)
-    context.former = world.owner()
-    world.rows.refusing.add(context.former)
-
-
-@given('the store resets the last node')
-def reset_last(context):
-    world = _world(context)
-    world.rows.resetting.add(list(world.services)[-1])
-
-
-@when('the store resets the owner')
-def reset_owner(context):
-    world = _world(context)
-    context.former = world.owner()
-    world.rows.resetting.add(context.former)
-
-
 @when('every worker but one drains')
 def drain_workers(context):
     world = _world(context)
--- /dev/null
+++ b/features/steps/outage_steps.py
@@ -0,0 +1,78 @@
+"""Steps about nodes that lose the store, and about nodes that leave."""
+
+from behave import given, then, when
+
+from cyclamentrack.jobs.service import Kept
+from features.harness.jobworld import make_step
+
+
+def _world(context):
+    return context.jobs
+
+
+@given('the store turns the last node away')
+def refuse_last(context):
+    world = _world(context)
+    world.rows.refusing.add(list(world.services)[-1])
+
+
+@when('the store turns the owner away')
+@when('the store turns away the owner')
+def refuse_owner(context):
+    world = _world(context)
+    context.former = world.owner()
+    world.rows.refusing.add(context.former)
+
+
+@given('the store resets the last node')
+def reset_last(context):
+    world = _world(context)
+    world.rows.resetting.add(list(world.services)[-1])
+
+
+@when('the store resets the owner')
+def reset_owner(context):
+    world = _world(context)
+    context.former = world.owner()
+    world.rows.resetting.add(context.former)
+
+
+@when('the owner leaves')
+def leave_owner(context):
+    world = _world(context)
+    context.former = world.owner()
+    cell = world.cells[context.former]
+
+    async def leave():
+        world.loop.nursery.start_soon(cell.hand_over)
+
+    world.loop.run(leave)
+
+
+@given('the store turns all nodes away but the owner')
+def refuse_others(context):
+    world = _world(context)
+    others = set(world.services) - {world.owner()}
+    world.rows.refusing.update(others)
+
+
+@when('the store serves all nodes')
+def serve_all(context):
+    _world(context).rows.refusing.clear()
+
+
+@when('the store goes down')
+def lose_store(context):
+    _world(context).rows.down = True
+
+
+@then('a job that is submitted now is {kept}')
+def check_kept(context, kept):
+    found = _world(context).submit(make_step(1))
+    context.job = found[0]
+    assert found[1] is Kept(kept), found
+
+
+@then('nothing of the last job is known')
+def check_unknown(context):
+    assert _world(context).state(context.job) is None
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -448,14 +448,22 @@
         return False
 
     async def _yield(self, owner: SliceOwner) -> None:
-        """Have a peer claim a slice that can't be kept here.
+        """Give a slice away that can't be kept here.
 
-        Raises ``OwnershipLostError`` once one has; if none can, the store
-        answers nobody, and the slice stays.
+        Raises ``OwnershipLostError`` once a peer has it; if none can claim,
+        the store answers nobody, and the slice stays.
         """
+        if await self._give_to_peer(owner):
+            raise OwnershipLostError(part=owner.claim.pool)
+
+    async def _give_to_peer(self, owner: SliceOwner) -> bool:
+        """Have a peer claim a slice, one that owns nothing if possible."""
         claim = owner.claim
         message = YieldSlice(pool=claim.pool, claim=claim.id)
-        for address in self.peer_addresses():
+        owning = {seen.lease.address for seen in self.board.seen.values()}
+        peers = self.peer_addresses()
+        peers.sort(key=owning.__contains__)
+        for address in peers:
             try:
                 reply = await self.parts.peers.call(
                     address=address, message=message, timeout_s=_YIELD_WAIT_S
@@ -467,16 +475,18 @@
                     _log.info(
                         'slice yielded pool=%s to=%s', claim.pool, address
                     )
-                    raise OwnershipLostError(part=claim.pool)
+                    return True
+        return False
 
     async def _release(self, pool: PoolName) -> None:
         owner = self.owners[pool]
+        keeper = self._keepers[pool]
         owner.pause()
         await owner.journal.flushed()
+        if await self._give_to_peer(owner):
+            return
         try:
-            await self._keepers[pool].renew(
-                waiting=owner.book.waiting(), released=True
-            )
+            await keeper.release()
         except (StoreUncertainError, StoreRefusedError, OwnershipLostError):
             _log.warning('slice not released pool=%s', pool)
         else:
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -181,7 +181,7 @@
 
     def __init__(self, *, store: RowStore, claim: Claim, lease: Lease) -> None:
         """Renew from the version that the claim wrote."""
-        self.confirmed_at = claim.claimed_at
+        self._turn = trio.Lock()
         self._store = store
         self._claim = claim
         self._lease = lease
@@ -192,19 +192,30 @@
         *,
         waiting: dict[QueueName, int] | None,
         shapes: tuple[Shape, ...] = (),
-        released: bool = False,
     ) -> None:
         """Renew once; without a count of what waits the last one stays.
 
-        Raises ``OwnershipLostError`` when another claim stands there.
+        A lease that was released isn't renewed any more. Raises
+        ``OwnershipLostError`` when another claim stands there.
         """
-        sent_at = trio.current_time()
+        async with self._turn:
+            if not self._lease.released:
+                await self._write(
+                    waiting=self._lease.waiting if waiting is None else waiting,
+                    shapes=shapes or self._lease.shapes,
+                )
+
+    async def release(self) -> None:
+        """Hand the slice over to whoever claims it next."""
+        async with self._turn:
+            written = False
+            while not written:
+                written = await self._write(released=True)
+
+    async def _write(self, **changes: object) -> bool:
+        """Write the lease, or only learn of an earlier try that was done."""
         lease = msgspec.structs.replace(
-            self._lease,
-            number=self._lease.number + 1,
-            waiting=self._lease.waiting if waiting is None else waiting,
-            released=released,
-            shapes=shapes or self._lease.shapes,
+            self._lease, number=self._lease.number + 1, **changes
         )
         self._lease = lease
         key = lease_key(self._claim.pool)
@@ -216,9 +227,10 @@
         match answer:
             case Committed(version=version):
                 self._version = version
+                return True
             case _:
                 row = answer.find(key)
                 if row is None or decode(row.body, Lease).claim != lease.claim:
                     raise OwnershipLostError(part=self._claim.pool)
                 self._version = row.version
-        self.confirmed_at = sent_at
+                return False
--- a/packages/cyclamentrack/cyclamentrack/jobs/keeping.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/keeping.py
@@ -28,6 +28,8 @@
 _TRY_S = 0.6
 # A peer's try and the way there and back.
 _PEER_TRY_S = 0.8
+# A read takes some milliseconds, a quarter of a second in a slow store.
+_PROBE_S = 0.4
 _PEERS_ASKED = 3
 _RETRY_S = 0.1
 # Part of a caller's patience that is left for the answer's way back.
@@ -74,6 +76,7 @@
         self._store = store
         self._peers = peers
         self._addresses = addresses
+        self._in_doubt = False
 
     async def keep(
         self,
@@ -94,7 +97,18 @@
         return Kept.UNKNOWN
 
     async def try_here(self, batch: Batch) -> Kept:
-        """Try once; ``UNKNOWN`` means that it may have been kept."""
+        """Try once; ``UNKNOWN`` means that it may have been kept.
+
+        After a write without an answer the store is asked before the next
+        one, so that what is refused while it is down was never sent.
+        """
+        if self._in_doubt and not await self._answers(batch):
+            return Kept.REFUSED
+        kept = await self._write(batch)
+        self._in_doubt = kept is not Kept.KEPT
+        return kept
+
+    async def _write(self, batch: Batch) -> Kept:
         with trio.move_on_after(_TRY_S):
             try:
                 await self._store.commit(batch)
@@ -105,6 +119,16 @@
             return Kept.KEPT
         return Kept.UNKNOWN
 
+    async def _answers(self, batch: Batch) -> bool:
+        """Tell whether the store answers a read."""
+        with trio.move_on_after(_PROBE_S):
+            try:
+                await self._store.read(batch.puts[0][0])
+            except (StoreUncertainError, StoreRefusedError):
+                return False
+            return True
+        return False
+
     async def _try_all(
         self, batch: Batch, message: ForwardSubmit | ForwardCancel
     ) -> Kept:
