Claim a slice once at a time on a node; shorten the lease

The second claim fenced the first, harmlessly, but recovery ran twice.

Change: one claim of a pool at a time.

A scenario that failed before (two claims).

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -163,6 +163,13 @@
     Then the job is shown as "completed" by every node
     And each of its tasks was started 1 time at most
 
+  Scenario: A node that sees its own claim before the reply claims once
+    Given the store's replies to writes are 0.4 seconds late
+    When the owner leaves
+    And 3 seconds go by
+    Then another node owns the pool
+    And the slice was claimed 1 time
+
   Scenario: A lease that was released is not renewed any more
     Given the store turns all nodes away but the owner
     When the owner leaves
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -37,6 +37,24 @@
     world.rows.resetting.add(context.former)
 
 
+@given("the store's replies to writes are {seconds:g} seconds late")
+def delay_replies(context, seconds):
+    rows = _world(context).rows
+    rows.reply_delay_s = seconds
+    context.claims = []
+    rows.watch_commit = lambda batch: _note_claim(context.claims, batch)
+
+
+def _note_claim(claims, batch):
+    if {'head', 'lease'} <= {key.key for key, _ in batch.puts}:
+        claims.append(batch)
+
+
+@then('the slice was claimed {times:d} time')
+def check_claims(context, times):
+    assert len(context.claims) == times, len(context.claims)
+
+
 @when('the owner leaves')
 def leave_owner(context):
     world = _world(context)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -35,6 +35,7 @@
         self.lose_replies = 0
         self.late_writes = 0
         self.feed_delay_s = 0.0
+        self.reply_delay_s = 0.0
         self.commits = 0
         self.history_from = 0
         self.watch_commit: Callable[[Batch], None] | None = None
@@ -125,6 +126,7 @@
             trio.lowlevel.spawn_system_task(_apply_late, rows, batch)
             await self._lose()
         answer = rows.apply(batch)
+        await trio.sleep(rows.reply_delay_s)
         if rows.lose_replies > 0:
             rows.lose_replies -= 1
             await self._lose()
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -108,6 +108,7 @@
         self.leaving = False
         self._nursery: trio.Nursery | None = None
         self._advising = trio.Lock()
+        self._claiming: set[PoolName] = set()
         self._due_since: dict[PoolName, float] = {}
         self._lost_at: dict[PoolName, float] = {}
         self._keepers: dict[PoolName, LeaseKeeper] = {}
@@ -345,6 +346,15 @@
         return names.index(self.me.node) * _TURN_S + handicap
 
     async def _claim(self, pool: PoolName, nursery: trio.Nursery) -> None:
+        if pool in self.owners or pool in self._claiming:
+            return
+        self._claiming.add(pool)
+        try:
+            await self._try_claim(pool, nursery)
+        finally:
+            self._claiming.discard(pool)
+
+    async def _try_claim(self, pool: PoolName, nursery: trio.Nursery) -> None:
         former = self.board.seen.get(pool)
         lease = Lease(
             node=self.me.node,
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -28,13 +28,13 @@
 
 _log = logging.getLogger(__name__)
 
-RENEW_S = 0.6
+RENEW_S = 0.5
 # Three renewals missed; a successor is at work well before workers' leases,
 # which last 6 s or more, have ended.
-LAPSE_S = 2.0
+LAPSE_S = 1.7
 _FOLLOW_WAIT_S = 0.9
 # Renewals of all slices that come within this time share one answer.
-_FOLLOW_GAP_S = 0.35
+_FOLLOW_GAP_S = 0.3
 _RETRY_S = 0.2
 
 
