Keep a plan to its workers; drop permits of ended steps and unread settings

Change: a plan leaves a worker only for a start that is 0.8 s earlier. Permits of ended steps are dropped (a slow leak), the forecast is worked out only when a large step waits, and settings that nothing reads are gone.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -201,11 +201,8 @@
                 tables=_TABLES,
                 tuning=Tuning(
                     worker_lease_s=_LEASE_S,
-                    stop_s=0.9,
-                    gang_start_s=3.0,
                     drain_s=2.0,
                     status_s=120.0,
-                    far_factor=2.0,
                 ),
                 peers=_Peers(self),
                 wall_clock=trio.current_time,
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -34,7 +34,7 @@
     ) -> None:
         """Decide over the book's open steps and the fleet's rooms."""
         self._urgent_queues = urgent_queues
-        self._holding: set[StepName] = set()
+        self._holding: dict[StepName, frozenset[WorkerId]] = {}
         self._book = book
         self._fleet = fleet
         self._permits = permits
@@ -57,13 +57,17 @@
         )
         ready = self._in_order(now)
         state.contest(self._claims(ready, state))
-        self._holding.clear()
+        former = self._holding
+        self._holding = {}
         for entry, step in ready:
             self._place_step(entry, step, state)
             if not needs_plan(step.step, usable):
                 self._wishes.wish(entry, step, state)
-            elif self._wishes.plan(entry, step, state):
-                self._holding.add(step.name)
+                continue
+            last = former.get(step.name, frozenset())
+            plan = self._wishes.plan(entry, step, state, last)
+            if plan is not None:
+                self._holding[step.name] = frozenset(plan.starts)
         return state.outcome
 
     def _in_order(self, now: float) -> list[tuple[JobRun, StepRun]]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -21,6 +21,8 @@
 _TELLING_PERCENT = 10.0
 # A run that is past its estimate is taken to need so much of it again.
 _OVERTIME_SHARE = 0.3
+# Expected ends move by about this much from look to look, seconds.
+_LOYALTY_S = 0.8
 # A task that takes this share of a worker seldom finds it by chance.
 _LARGE_SHARE = 0.24
 
@@ -62,15 +64,24 @@
                 )
 
     def plan(
-        self, step: Step, workers: list[Worker], *, count: int
+        self,
+        step: Step,
+        workers: list[Worker],
+        *,
+        count: int,
+        former: frozenset[WorkerId],
     ) -> GangPlan:
-        """Return the earliest starts of some tasks, of a gang together."""
+        """Return the earliest starts of some tasks, of a gang together.
+
+        Workers of the ``former`` plan are given up only for starts that are
+        clearly earlier: room that was kept on them would be wasted.
+        """
         times = sorted(
-            (at, worker.entry.id)
+            (at - _LOYALTY_S * (worker.entry.id in former), at, worker.entry.id)
             for worker in workers
             for at in self._slots(step, worker)
         )
-        chosen = times[:count]
+        chosen = sorted((at, name) for _, at, name in times[:count])
         if step.gang and len(chosen) < count:
             return GangPlan(starts={})
         starts: dict[WorkerId, float] = {}
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -103,6 +103,7 @@
         self._wake = trio.Event()
         self._paused = False
         self._nursery: trio.Nursery | None = None
+        self._permits: PermitBook | None = None
 
     @property
     def nursery(self) -> trio.Nursery:
@@ -121,6 +122,7 @@
                 lanes=lambda: self._parts.lanes(self.claim.pool),
                 on_answer=self.wake,
             )
+            self._permits = permits
             launcher = Launcher(owner=self, nursery=nursery)
             intake = self.intake
             roster = WorkerRoster(owner=self, parts=self._parts)
@@ -222,10 +224,15 @@
         self.journal.put(closed_key(pool, entry.job.id), encode(closed))
         for step in entry.steps.values():
             self.journal.put(step_key(pool, step.name), None)
+            self._forget_permits(step)
         for placement in entry.placed:
             self.stop_run(placement)
         self.nursery.start_soon(self._publish, entry, closed)
 
+    def _forget_permits(self, step: StepRun) -> None:
+        if self._permits is not None:
+            self._permits.forget(step.name)
+
     def _clear(
         self, task: TaskRun, worker: Worker, run: int
     ) -> Placement | None:
@@ -316,6 +323,7 @@
             return
         if step.done:
             self.book.open_steps.pop(step.name, None)
+            self._forget_permits(step)
         if not entry.placed:
             entry.idle_since = trio.current_time()
         if entry.state is None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -304,8 +304,5 @@
     """Bounds of the deployment that the job cell keeps to, in seconds."""
 
     worker_lease_s: float
-    stop_s: float
-    gang_start_s: float
     drain_s: float
     status_s: float
-    far_factor: float
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -94,7 +94,6 @@
         self.usable = usable
         self.suspects = suspects
         self.demand = Demand(usable)
-        self.forecast = Forecast(book=book, workers=usable, now=now)
         self.outcome = Round()
         self.given: set[TaskName] = set()
         self.prepared = 0
@@ -102,6 +101,16 @@
         self.kept: dict[WorkerId, float] = {}
         self._busy = _is_busy(usable)
         self._book = book
+        self._forecast: Forecast | None = None
+
+    @property
+    def forecast(self) -> Forecast:
+        """When runs will end; worked out once a round, if it is needed."""
+        if self._forecast is None:
+            self._forecast = Forecast(
+                book=self._book, workers=self.usable, now=self.now
+            )
+        return self._forecast
 
     def contest(self, claims: Iterable[set[WorkerId]]) -> None:
         """Note how much large steps depend on each worker.
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -5,6 +5,7 @@
 is expected to be free, and ahead for the steps that are next.
 """
 
+from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobRun, StepRun
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import GangPlan
@@ -28,14 +29,21 @@
         """Ask on the grounds of the permits that are known."""
         self._permits = permits
 
-    def plan(self, entry: JobRun, step: StepRun, state: RoundState) -> bool:
+    def plan(
+        self,
+        entry: JobRun,
+        step: StepRun,
+        state: RoundState,
+        former: frozenset[WorkerId],
+    ) -> GangPlan | None:
         """Keep room for tasks that wait, and renew their permits in time.
 
-        Returns whether room is kept for the step.
+        Returns the plan if room is kept for it; ``former`` are the workers
+        on which it was kept in the round before.
         """
         left = [task for task in step.idle if task.name not in state.given]
         if not left:
-            return False
+            return None
         known = self._permits.of(step.name)
         candidates = [
             worker
@@ -45,12 +53,14 @@
             and worker.entry.id not in state.kept
             and suits(step, worker)
         ]
-        plan = state.forecast.plan(step.step, candidates, count=len(left))
+        plan = state.forecast.plan(
+            step.step, candidates, count=len(left), former=former
+        )
         permitted = bool(known.good) or entry.queue.permits is None
         useful = permitted and prospect_of(entry, step, state.now)
         if entry.queue.permits is not None:
             self._renew_for_plan(entry, step, plan, state)
-        return useful and state.keep(plan)
+        return plan if useful and state.keep(plan) else None
 
     def wish(self, entry: JobRun, step: StepRun, state: RoundState) -> None:
         """Ask for permits on workers that have room for what is left."""
