--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,10 +3,13 @@
 import importlib
 import logging
 import sys
+from pathlib import Path
 from typing import Annotated
 
 import typer
 
+from bench.day import measure as read_logs
+
 _NAMES = (
     'decide',
     'pack',
@@ -16,15 +19,27 @@
     'control',
     'tombstones',
 )
+_READS_LOGS = 'day'
 
 
 def main(
-    name: Annotated[str, typer.Argument(help=', '.join(_NAMES))],
+    name: Annotated[
+        str, typer.Argument(help=', '.join((*_NAMES, _READS_LOGS)))
+    ],
+    path: Annotated[
+        Path | None, typer.Argument(help='Logs of a played day, for "day".')
+    ] = None,
     json: Annotated[bool, typer.Option(help='Print JSON.')] = False,
 ) -> None:
     """Measure; exit 1 when a target isn't met."""
+    if name == _READS_LOGS and path is not None and path.is_file():
+        sys.exit(read_logs(path).print(as_json=json))
     if name not in _NAMES:
-        typer.echo(f'no measurement {name}; use one of {_NAMES}', err=True)
+        typer.echo(
+            f'no measurement {name}; use one of {_NAMES}, '
+            f'or {_READS_LOGS} with a file of logs',
+            err=True,
+        )
         raise typer.Exit(2)
     logging.disable(logging.CRITICAL)
     module = importlib.import_module(f'bench.{name}')
