--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -1,5 +1,6 @@
 """A server on a real socket that speaks canned answers, and records calls."""
 
+import contextlib
 import json
 import threading
 
@@ -44,6 +45,11 @@
             await trio.serve_listeners(self._answer_all, listeners)
 
     async def _answer_all(self, stream):
+        """Answer one connection until it ends, in whatever way."""
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self._answer_each(stream)
+
+    async def _answer_each(self, stream):
         buffer = b''
         while True:
             found = await self._read_request(stream, buffer)
