Have nodes with more capacity claim slices first

Callers saw a pool of 126 workers starve: the first in a fixed order of claims owned it, whatever its share of a core and its link, and of 30 nodes 24 have a quarter of the processor and a twentieth of the link of the other six. Of 30 nodes the last in the order waited 7.5 s, longer than workers' leases last, and two pools could go to one node.

Members publish their share of the processor and their link. Turns go by class of capacity, then by whether a node owns a slice already, then by the old order; a class takes 1.5 s at most. A slice that is yielded goes to peers in the same order.

The four scenarios of ownership.feature play 24 small and 6 large nodes with 8 pools. With the former order of claims two of them failed (small nodes own seven of eight pools at the start, and after a kill).

Ruled out: larger nodes taking slices from living owners of a lower class; a slice doesn't move while its owner lives.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -77,14 +77,14 @@
     def close(self):
         self.loop.close()
 
-    def configure(self, *queues):
+    def configure(self, *queues, pools=(POOL,)):
         """Put a configuration in force."""
         self.version += 1
         self.queues = {queue.name: queue for queue in queues}
         found = Configuration(
             version=self.version,
             queues=tuple(queues),
-            pools=(POOL,),
+            pools=pools,
             max_body_bytes=65536,
         )
         self.loop.run(
@@ -116,8 +116,9 @@
 
         self.loop.run(drop)
 
-    def start_node(self, name):
-        self.loop.run(self._start_node, name)
+    def start_node(self, name, **capacity):
+        """Start a node; its capacity as ``Member`` names it."""
+        self.loop.run(self._start_node, name, capacity)
 
     def kill_node(self, name):
         async def kill():
@@ -127,10 +128,10 @@
 
         self.loop.run(kill)
 
-    def owner(self):
+    def owner(self, pool=POOL):
         """Return the name of the node that owns the pool."""
         for name, cell in self.cells.items():
-            if POOL in cell.owners:
+            if pool in cell.owners:
                 return name
         return None
 
@@ -190,9 +191,11 @@
             RowKey('servers', '', entry.id), msgspec.json.encode(entry)
         )
 
-    async def _start_node(self, name):
+    async def _start_node(self, name, capacity):
         cell = JobCell(
-            me=Member(node=name, incarnation='1', address=name, zone='z'),
+            me=Member(
+                node=name, incarnation='1', address=name, zone='z', **capacity
+            ),
             parts=CellParts(
                 store=self.rows.client(name),
                 orders=self.workers.orders(),
--- /dev/null
+++ b/features/jobs/ownership.feature
@@ -0,0 +1,20 @@
+Feature: Pools are owned by nodes that can carry them
+
+  Background:
+    Given a job cell of 24 small and 6 large nodes with 8 pools
+
+  Scenario: No small node owns a pool while large ones live
+    Then large nodes own all pools
+
+  Scenario: Pools are spread over the large nodes
+    Then no large node owns 3 pools
+
+  Scenario: The pools of a dead node go to large nodes
+    When the owner of the first pool is killed
+    And 4 seconds go by
+    Then large nodes own all pools
+
+  Scenario: Small nodes claim soon once no large one lives
+    When all large nodes are killed
+    And 6 seconds go by
+    Then small nodes own all pools
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -74,6 +74,10 @@
       | {"Service":"s","Address":1,"State":"ready","Capacity":{"Cpu":1,"MemMb":1}}  |
     And a configuration of "[]" is skipped
 
+  Scenario: Settings tell what a machine can carry
+    When settings with limits are read
+    Then they give 1.5 cores and a link of 200 Mbit/s
+
   Scenario Outline: Settings with <fault> are refused
     When settings with <fault> are read
     Then the error names "<key>"
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -216,6 +216,8 @@
             body['platform'] = {}
         case 'a text as port':
             body['PortRange'] = ['a', 7395]
+        case 'limits':
+            body['Limits'] = {'CpuShare': 0.5, 'Cores': 3, 'LinkMbps': 200.0}
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'local.json'
         if fault != 'no file':
@@ -223,6 +225,12 @@
         context.answer = load_boot(str(path))
 
 
+@then('they give {cores:g} cores and a link of {link:g} Mbit/s')
+def check_limits(context, cores, link):
+    limits = context.answer.unwrap().limits
+    assert (limits.cores, limits.link_mbps) == (cores, link), limits
+
+
 @then('the error names "{key}"')
 def check_settings(context, key):
     assert isinstance(context.answer, Failure), context.answer
--- /dev/null
+++ b/features/steps/ownership_steps.py
@@ -0,0 +1,77 @@
+"""Steps about which nodes own pools."""
+
+from behave import given, then, when
+
+from cyclamentrack.ids import PoolName
+from features.harness.jobworld import JobWorld, make_queue
+
+_LARGE = {'cores': 2.15, 'link_mbps': 200.0}
+_SMALL = {'cores': 0.52, 'link_mbps': 10.0}
+
+
+def _pools(context):
+    return [PoolName(f'p{number}') for number in range(context.pools)]
+
+
+def _large_names(context):
+    return [f'large{number}' for number in range(context.large)]
+
+
+def _owners(context):
+    return [context.jobs.owner(pool) or '' for pool in _pools(context)]
+
+
+@given(
+    'a job cell of {small:d} small and {large:d} large nodes'
+    ' with {pools:d} pools'
+)
+def start_uneven_cell(context, small, large, pools):
+    world = JobWorld()
+    context.jobs = world
+    context.add_cleanup(world.close)
+    context.large = large
+    context.pools = pools
+    names = _pools(context)
+    queues = [make_queue(f'q{pool}', pool=pool) for pool in names]
+    world.configure(*queues, pools=tuple(names))
+    for number in range(small):
+        world.start_node(f'small{number}', **_SMALL)
+    start_large(context)
+    world.loop.sleep(4)
+
+
+@when('all large nodes are started again')
+def start_large(context):
+    for name in _large_names(context):
+        context.jobs.start_node(name, **_LARGE)
+
+
+@when('the owner of the first pool is killed')
+def kill_first_owner(context):
+    context.jobs.kill_node(_owners(context)[0])
+
+
+@when('all large nodes are killed')
+def kill_large(context):
+    for name in _large_names(context):
+        context.jobs.kill_node(name)
+
+
+@when('all owners leave')
+def leave_owners(context):
+    world = context.jobs
+    for name in set(_owners(context)):
+        world.loop.run(world.cells[name].hand_over)
+        world.kill_node(name)
+
+
+@then('{kind} nodes own all pools')
+def check_kind(context, kind):
+    owners = _owners(context)
+    assert all(owner.startswith(kind) for owner in owners), owners
+
+
+@then('no large node owns {count:d} pools')
+def check_spread(context, count):
+    owners = _owners(context)
+    assert max(owners.count(name) for name in owners) < count, owners
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -1,6 +1,5 @@
 """One node of the job cell: membership, claims, and the slices it owns."""
 
-import hashlib
 import logging
 import secrets
 from collections.abc import Callable, Sequence
@@ -51,16 +50,13 @@
     Member,
     member_key,
 )
+from cyclamentrack.jobs.turns import capacity_class, claim_wait_s
 from cyclamentrack.ports import Peers
 
 _log = logging.getLogger(__name__)
 
 _CLAIM_BYTES = 6
 _LOOK_S = 0.25
-# Nodes claim in turn, so that one claim wins without a race.
-_TURN_S = 0.25
-# A node that owns a slice lets others go first.
-_OWNER_HANDICAP_S = 0.6
 # A node that lost a slice doesn't claim it again within the workers' notion
 # of two holders that take turns.
 _COOLDOWN_S = 3.2
@@ -337,13 +333,28 @@
         await self._claim(pool, nursery)
 
     def _turn_s(self, pool: PoolName) -> float:
-        """Return how long this node lets others claim first, seconds."""
+        """Return how long this node lets others claim first, seconds.
+
+        What it owned in its former life it claims at once, unless there are
+        more capable nodes.
+        """
+        members = {**self.members, self.me.node: self.me}
         former = self.board.seen.get(pool)
-        if former is not None and former.lease.node == self.me.node:
+        known = former is not None and former.lease.node == self.me.node
+        if known and capacity_class(self.me, members.values()) == 0:
             return 0.0
-        names = sorted({*self.members, self.me.node}, key=_rank_in(pool))
-        handicap = _OWNER_HANDICAP_S if self.owners else 0.0
-        return names.index(self.me.node) * _TURN_S + handicap
+        owning = self._owning()
+        if self.owners:
+            owning.add(self.me.node)
+        return claim_wait_s(pool, self.me.node, members=members, owning=owning)
+
+    def _owning(self) -> set[str]:
+        """Return the nodes that own a slice, as far as is known."""
+        return {
+            seen.lease.node
+            for seen in self.board.seen.values()
+            if not seen.lease.released
+        }
 
     async def _claim(self, pool: PoolName, nursery: trio.Nursery) -> None:
         if pool in self.owners or pool in self._claiming:
@@ -467,13 +478,10 @@
             raise OwnershipLostError(part=owner.claim.pool)
 
     async def _give_to_peer(self, owner: SliceOwner) -> bool:
-        """Have a peer claim a slice, one that owns nothing if possible."""
+        """Have a peer claim a slice, the most capable that owns least."""
         claim = owner.claim
         message = YieldSlice(pool=claim.pool, claim=claim.id)
-        owning = {seen.lease.address for seen in self.board.seen.values()}
-        peers = self.peer_addresses()
-        peers.sort(key=owning.__contains__)
-        for address in peers:
+        for address in self._successors(claim.pool):
             try:
                 reply = await self.parts.peers.call(
                     address=address, message=message, timeout_s=_YIELD_WAIT_S
@@ -488,6 +496,22 @@
                     return True
         return False
 
+    def _successors(self, pool: PoolName) -> list[str]:
+        """Return the addresses of peers in their order of claims."""
+        owning = self._owning()
+        others = {
+            name: member
+            for name, member in self.members.items()
+            if name != self.me.node
+        }
+        names = sorted(
+            others,
+            key=lambda name: claim_wait_s(
+                pool, name, members=others, owning=owning
+            ),
+        )
+        return [others[name].address for name in names]
+
     async def _release(self, pool: PoolName) -> None:
         owner = self.owners[pool]
         keeper = self._keepers[pool]
@@ -501,10 +525,3 @@
             _log.warning('slice not released pool=%s', pool)
         else:
             _log.info('slice released pool=%s', pool)
-
-
-def _rank_in(pool: PoolName) -> Callable[[str], bytes]:
-    """Return a node's place in the order of claims for a pool."""
-    return lambda node: hashlib.blake2b(
-        f'{pool}/{node}'.encode(), digest_size=8
-    ).digest()
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -39,12 +39,18 @@
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
-    """One node of the cell and where its peers reach it."""
+    """One node of the cell, where its peers reach it, and what it can carry.
+
+    ``cores`` is its share of the processor in cores, and ``link_mbps`` the
+    bandwidth of its link; 0 says that it isn't known.
+    """
 
     node: str
     incarnation: str
     address: str
     zone: str
+    cores: float = 0.0
+    link_mbps: float = 0.0
 
 
 def jobs_part(pool: PoolName, job: JobId) -> str:
