Let a peer claim a slice that is yielded right after a renewal

Callers saw pools without an owner for up to 3 s after an orderly end of their owner, or owned by the least capable node. A peer that is asked to claim expected the lease's version that its feed had brought, which is up to 0.3 s old, while leases are renewed each 0.5 s: the claim met another version and the peer refused. The owner then asked the next peer, in vain for the same cause, until the feeds had caught up.

A peer that is asked reads the lease first.

--- a/features/jobs/ownership.feature
+++ b/features/jobs/ownership.feature
@@ -18,3 +18,11 @@
     When all large nodes are killed
     And 6 seconds go by
     Then small nodes own all pools
+
+  Scenario: A slice that is yielded right after a renewal goes to a large node
+    When all large nodes are killed
+    And 6 seconds go by
+    And all large nodes are started again
+    And 1 second goes by
+    And all owners leave, each right after a renewal
+    Then every slice was yielded to a large node
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.records import lease_key
 from features.harness.jobworld import JobWorld, make_queue
 
 _LARGE = {'cores': 2.15, 'link_mbps': 200.0}
@@ -57,12 +58,29 @@
         context.jobs.kill_node(name)
 
 
-@when('all owners leave')
+@when('all owners leave, each right after a renewal')
 def leave_owners(context):
     world = context.jobs
-    for name in set(_owners(context)):
-        world.loop.run(world.cells[name].hand_over)
-        world.kill_node(name)
+    context.successors = []
+    for pool, name in zip(_pools(context), _owners(context), strict=True):
+        if name in world.cells:
+            _wait_for_renewal(world, pool)
+            world.loop.run(world.cells[name].hand_over)
+            world.kill_node(name)
+        context.successors.append(world.owner(pool) or '')
+
+
+def _wait_for_renewal(world, pool):
+    key = lease_key(pool)
+    before = world.rows.rows[key].version
+    while world.rows.rows[key].version == before:
+        world.loop.sleep(0.01)
+
+
+@then('every slice was yielded to a large node')
+def check_yielded(context):
+    found = context.successors
+    assert all(owner.startswith('large') for owner in found), found
 
 
 @then('{kind} nodes own all pools')
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -156,9 +156,15 @@
 
     async def take_over(self, pool: PoolName, claim: str) -> bool:
         """Claim a slice whose owner can't reach the store and says so."""
+        if self.leaving or self.board.blind or not self._nursery:
+            return False
+        try:
+            await self.board.refresh(pool)
+        except (StoreUncertainError, StoreRefusedError) as error:
+            _log.warning('pool=%s can not be taken over: %s', pool, error)
+            return False
         seen = self.board.seen.get(pool)
-        known = seen is not None and seen.lease.claim == claim
-        if self.leaving or not known or self.board.blind or not self._nursery:
+        if seen is None or seen.lease.claim != claim:
             return False
         await self._claim(pool, self._nursery)
         return pool in self.owners
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -75,6 +75,15 @@
             return True
         return now - seen.changed_at > LAPSE_S
 
+    async def refresh(self, pool: PoolName) -> None:
+        """Read one lease now, rather than wait for the feed.
+
+        Raises ``StoreRefusedError`` or ``StoreUncertainError``.
+        """
+        row = await self._store.read(lease_key(pool))
+        if row is not None:
+            self._take((row,))
+
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
         version: int | None = None
