Bound the looks of an owner by the size of its pool

Callers saw a pool of 126 workers get slower with each start that went unanswered: for 6 s looks at all workers waited 0.25 s in place of 0.6 s, 504 looks a second, which delayed the answers of the next starts. Looks at workers that are met together also fell together, and a new owner opened connections to all of them at once.

The first wait of each worker is spread by a hash of its id, and at most 16 workers are met at a time, so that their deadlines don't begin while the others' connections are made.

Ruled out: shortening only the looks at the worker concerned, since answers are lost in spells that hit all of a pool; small pools still need that.

--- /dev/null
+++ b/features/steps/look_steps.py
@@ -0,0 +1,41 @@
+"""Steps about looks at workers."""
+
+from behave import given, then
+
+
+def _recent(context, seconds):
+    world = context.jobs
+    since = world.loop.run(world.now) - seconds
+    return [look.at for look in world.workers.looks if look.at >= since]
+
+
+@given('the first worker leaves its starts unanswered')
+def leave_starts_unanswered(context):
+    first = next(iter(context.jobs.workers.workers.values()))
+    first.carry_out_late = 3
+
+
+@then('the looks of the last second were {count:d} at most')
+def check_count(context, count):
+    found = len(_recent(context, 1.0))
+    assert 0 < found <= count, found
+
+
+@then('no {span:g} seconds of the last second saw over {count:d} looks')
+def check_spread(context, span, count):
+    times = _recent(context, 1.0)
+    most = max(
+        sum(start <= other < start + span for other in times) for start in times
+    )
+    assert most <= count, most
+
+
+@then('{count:d} first looks at most were under way together')
+def check_greetings(context, count):
+    together = [
+        look.under_way
+        for look in context.jobs.workers.looks
+        if look.wait_s == 0
+    ]
+    assert len(together) >= 2 * len(context.jobs.workers.workers)
+    assert max(together) <= count, max(together)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -53,6 +53,14 @@
 )
 
 
+class Look(msgspec.Struct, frozen=True, kw_only=True):
+    """One look at a worker, and how many that don't wait were under way."""
+
+    at: float
+    wait_s: float
+    under_way: int
+
+
 class MemoryRun(msgspec.Struct, kw_only=True, eq=False):
     """One run on a worker."""
 
@@ -221,6 +229,7 @@
         self.behaviours: dict[tuple[str, int], Behaviour] = {}
         self.noted: set[TaskName] = set()
         self.starts: list[tuple[float, TaskName, int, WorkerId]] = []
+        self.looks: list[Look] = []
         self.broken: list[str] = []
         self.done: set[TaskName] = set()
         self._checkpoints: dict[tuple[str, int, int], str] = {}
@@ -299,6 +308,7 @@
     def __init__(self, *, workers: MemoryWorkers) -> None:
         """Reach all workers."""
         self._workers = workers
+        self._not_waiting = 0
 
     async def start(
         self, *, worker: WorkerEntry, order: StartOrder
@@ -326,12 +336,12 @@
         self, *, worker: WorkerEntry, order: HoldOrder
     ) -> HoldReport:
         """Extend the lease and wait for an end."""
-        found = await self._reach(worker)
-        found.hold(order)
-        with trio.move_on_after(order.wait_s):
-            while not found.ends:
-                await trio.sleep(_TICK_S)
-        return (await self._reach(worker)).report()
+        passing = order.wait_s == 0
+        self._not_waiting += passing
+        try:
+            return await self._hold(worker, order)
+        finally:
+            self._not_waiting -= passing
 
     async def pace(
         self,
@@ -346,6 +356,21 @@
         del task, run, percent, token
         await self._reach(worker)
 
+    async def _hold(self, worker: WorkerEntry, order: HoldOrder) -> HoldReport:
+        self._workers.looks.append(
+            Look(
+                at=trio.current_time(),
+                wait_s=order.wait_s,
+                under_way=self._not_waiting,
+            ),
+        )
+        found = await self._reach(worker)
+        found.hold(order)
+        with trio.move_on_after(order.wait_s):
+            while not found.ends:
+                await trio.sleep(_TICK_S)
+        return (await self._reach(worker)).report()
+
     async def _reach(self, worker: WorkerEntry) -> MemoryWorker:
         await trio.sleep(_CALL_S)
         found = self._workers.workers[worker.id]
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -183,6 +183,11 @@
         """The shapes of all workers that were ever listed."""
         return tuple(self._shapes)
 
+    @property
+    def listed(self) -> int:
+        """How many workers are listed."""
+        return sum(worker.listed for worker in self.workers.values())
+
     def note_unanswered(self, now: float) -> None:
         """Note that a worker has left an order unanswered."""
         self._unanswered_at = now
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -34,6 +34,8 @@
 # claim.
 _FORMER_OWNER_S = 2.0
 _CLOCK_SLACK = 1.03
+# New connections to all workers at once would let all first looks time out.
+_GREETINGS = 16
 
 
 class WorkerRoster:
@@ -44,6 +46,7 @@
         self._owner = owner
         self._parts = parts
         self._store = parts.store
+        self._greeting = trio.CapacityLimiter(_GREETINGS)
 
     async def follow(self) -> None:
         """Follow the list until cancelled."""
@@ -114,5 +117,7 @@
                         run=placement.run,
                         step=step.step,
                     )
-        watch = WorkerWatch(owner=self._owner, worker=worker)
+        watch = WorkerWatch(
+            owner=self._owner, worker=worker, greeting=self._greeting
+        )
         self._owner.nursery.start_soon(watch.run)
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -10,6 +10,7 @@
 from cyclamentrack.errors import WorkerSilentError
 from cyclamentrack.jobs.book import Phase, Placement, StepRun
 from cyclamentrack.jobs.fleet import Worker
+from cyclamentrack.jobs.looks import first_share, look_wait_s
 from cyclamentrack.jobs.model import TaskName, WorkerState
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
 from cyclamentrack.jobs.ports import HoldOrder, HoldReport, RunReport
@@ -32,11 +33,6 @@
 
 # Ends that follow within this time share one look, since each is priced.
 _ENDS_GAP_S = 0.02
-# Looks keep leases far from their end and progress fresh. One that goes
-# unanswered hides ends for so long; while workers leave orders unanswered
-# looks are shorter.
-_HOLD_WAIT_S = 0.6
-_TROUBLED_WAIT_S = 0.25
 # Workers answer within some milliseconds of an end or of the wait.
 _HOLD_ANSWER_S = 0.35
 _LONGEST_ANSWER_S = 0.8
@@ -56,23 +52,43 @@
 class WorkerWatch:
     """One worker under this owner's claim."""
 
-    def __init__(self, *, owner: SliceOwner, worker: Worker) -> None:
+    def __init__(
+        self,
+        *,
+        owner: SliceOwner,
+        worker: Worker,
+        greeting: trio.CapacityLimiter,
+    ) -> None:
         """Hold nothing before ``run``."""
         self._owner = owner
         self._worker = worker
+        self._greeting = greeting
         self._draining_since: float | None = None
         self._unanswered = 0
+        self._wait_share = first_share(worker.entry.id)
 
     async def run(self) -> None:
         """Hold the worker until it is gone for certain."""
+        async with self._greeting:
+            sent_at = trio.current_time()
+            report = await self._look(sent_at)
+        await self._take(report, sent_at)
         while not self._worker.retired:
             sent_at = trio.current_time()
-            try:
-                report = await self._hold(sent_at)
-            except WorkerSilentError:
-                await self._take_silence()
-            else:
-                await self._take_in(report, sent_at)
+            report = await self._look(sent_at)
+            await self._take(report, sent_at)
+
+    async def _look(self, sent_at: float) -> HoldReport | None:
+        try:
+            return await self._hold(sent_at)
+        except WorkerSilentError:
+            return None
+
+    async def _take(self, report: HoldReport | None, sent_at: float) -> None:
+        if report is None:
+            await self._take_silence()
+        else:
+            await self._take_in(report, sent_at)
 
     async def _hold(self, sent_at: float) -> HoldReport:
         owner = self._owner
@@ -99,9 +115,13 @@
     def _wait_s(self, now: float) -> float:
         if not self._worker.greeted:
             return 0.0
-        if self._owner.fleet.in_trouble(now):
-            return _TROUBLED_WAIT_S
-        return _HOLD_WAIT_S
+        fleet = self._owner.fleet
+        wait_s = look_wait_s(
+            workers=fleet.listed, troubled=fleet.in_trouble(now)
+        )
+        share = self._wait_share
+        self._wait_share = 1.0
+        return wait_s * share
 
     async def _take_silence(self) -> None:
         worker = self._worker
