Count only time in which the loop ran against calls and renewals

Callers saw starts, looks and lease renewals of a busy owner given up as unanswered although the answers lay in its sockets: a time limit that passes while the loop is held up cancels the call as soon as the loop runs again, so an overload alone looked like silent workers and a failed store, and cost the connection too.

--- a/features/harness/loop.py
+++ b/features/harness/loop.py
@@ -47,6 +47,15 @@
         """Let time pass."""
         self.run(trio.sleep, seconds)
 
+    def hold_up(self, seconds: float) -> None:
+        """Let time pass in which no task runs."""
+
+        async def jump() -> None:
+            self._clock.jump(seconds)
+            await trio.lowlevel.checkpoint()
+
+        self.run(jump)
+
     def close(self) -> None:
         """End all tasks and the loop."""
         if self._error is None:
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -1,15 +1,18 @@
 """Steps about the adapter's HTTP client on a real socket."""
 
 import contextlib
+import time
 
 import trio
 from behave import given, then, when
 
+from cyclamentrack.patience import Patience
 from cyclamentrack_platform.http import HttpClient, NoAnswerError
 from features.harness.wire import WireServer
 
 _PATIENCE_S = 30.0
 _SHORT_S = 0.05
+_LAPS = 3
 
 
 @given(
@@ -60,6 +63,39 @@
             nursery.start_soon(_call, client, path, _SHORT_S)
 
 
+@given('a client that leaves out the time in which its loop is held up')
+def begin_patient_client(context):
+    begin_client(context, 1, '/hold')
+    address = context.make().address
+    context.patience = Patience()
+    context.make = lambda: HttpClient(
+        address=address, connections=1, patience=context.patience
+    )
+
+
+@then('a call of {limit:g} seconds is answered in a loop held up for {held:g}')
+def check_held_up(context, limit, held):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(context.patience.run)
+            client = context.make()
+            await client.call('POST', '/a', body={}, timeout_s=_PATIENCE_S)
+            await trio.sleep(_SHORT_S)
+            nursery.start_soon(_hold_up, held)
+            reply = await client.call('POST', '/a', body={}, timeout_s=limit)
+            assert reply.status == 200
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def _hold_up(seconds):
+    """Block the loop while an answer is on its way."""
+    for _ in range(_LAPS):
+        time.sleep(seconds / _LAPS)  # noqa: ASYNC251
+        await trio.lowlevel.checkpoint()
+
+
 @then('a call is answered')
 def check_answered(context):
     async def main():
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -51,6 +51,7 @@
     member_key,
 )
 from cyclamentrack.jobs.turns import capacity_class, claim_wait_s
+from cyclamentrack.patience import Patience
 from cyclamentrack.ports import Peers
 
 _log = logging.getLogger(__name__)
@@ -68,6 +69,9 @@
 _HANDOVER_S = 1.5
 # A renewal that takes longer has failed; a slow store takes a quarter.
 _RENEW_WAIT_S = 0.6
+# A renewal has to wait for its turn in the loop so often; while that takes
+# long, the next one begins sooner.
+_LAPS = 5
 # Replies of the store are lost at times. An owner that it has left for longer
 # than this asks its peers to claim, rather than wait for its lease to lapse.
 _YIELD_AFTER_S = 0.55
@@ -87,6 +91,7 @@
     tuning: Tuning
     peers: Peers
     wall_clock: Callable[[], float]
+    patience: Patience = msgspec.field(default_factory=Patience)
 
 
 class JobCell:
@@ -113,6 +118,7 @@
         """Follow the cell and own slices until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self.parts.patience.run)
             nursery.start_soon(self._join)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_members)
@@ -448,7 +454,8 @@
             began = trio.current_time()
             if await self._renew_once(owner, keeper):
                 failing_since = None
-                await trio.sleep(RENEW_S)
+                lag_s = self.parts.patience.lag_s
+                await trio.sleep(max(RENEW_S - _LAPS * lag_s, _RETRY_S))
                 continue
             if failing_since is None:
                 failing_since = began
@@ -462,7 +469,7 @@
         if owner.recovered.is_set():
             waiting = owner.book.waiting()
             shapes = owner.fleet.shapes
-        with trio.move_on_after(_RENEW_WAIT_S):
+        with self.parts.patience.limit(_RENEW_WAIT_S):
             try:
                 await keeper.renew(waiting=waiting, shapes=shapes)
             except (StoreUncertainError, StoreRefusedError) as error:
