Take a slice over at a cost of its runs, not of runs times workers

Callers saw nothing start for seconds after each takeover of the large pool. The new owner went through all recorded runs once for each of 126 workers, summed the room of all workers for each step of each job, and logged each waiting job.

Runs are now gathered by worker once, room is reckoned from the counts of workers by capacity, and the one line `slice recovered ... open=` stands for the jobs that were read; jobs that come later are logged as before.

--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -1,5 +1,6 @@
 """The workers of a slice: room, leases, and what their ends say of them."""
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -177,6 +178,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self._unanswered_at = -_TROUBLE_S
         self._shapes: dict[Shape, None] = {}
+        self._capacities: Counter[Resources] | None = None
 
     @property
     def shapes(self) -> tuple[Shape, ...]:
@@ -186,7 +188,7 @@
     @property
     def listed(self) -> int:
         """How many workers are listed."""
-        return sum(worker.listed for worker in self.workers.values())
+        return self._count_capacities().total()
 
     def note_unanswered(self, now: float) -> None:
         """Note that a worker has left an order unanswered."""
@@ -200,13 +202,13 @@
         """Return how many tasks of a step the listed workers hold."""
         need = charge(step)
         return sum(
-            need.times_in(worker.entry.capacity)
-            for worker in self.workers.values()
-            if worker.listed
+            count * need.times_in(capacity)
+            for capacity, count in self._count_capacities().items()
         )
 
     def see(self, entry: WorkerEntry) -> Worker:
         """Take in a worker's entry; a known one keeps its runs."""
+        self._capacities = None
         worker = self.workers.get(entry.id)
         if worker is None or worker.retired:
             worker = Worker(entry=entry)
@@ -219,9 +221,20 @@
 
     def lose(self, worker: WorkerId) -> None:
         """Note that a worker's entry is gone; its runs may go on."""
+        self._capacities = None
         if worker in self.workers:
             self.workers[worker].listed = False
 
+    def _count_capacities(self) -> Counter[Resources]:
+        """Count the listed workers by capacity."""
+        if self._capacities is None:
+            self._capacities = Counter(
+                worker.entry.capacity
+                for worker in self.workers.values()
+                if worker.listed
+            )
+        return self._capacities
+
 
 def _shape(entry: WorkerEntry) -> Shape:
     return Shape(entry.capacity, entry.labels)
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -193,14 +193,15 @@
         entry = self._owner.book.admit(job=job, queue=queue, now=arrived)
         if entry is None:
             return
+        if not self._owner.recovered.is_set():
+            return
         _log.info(
             'job taken in job=%s queue=%s steps=%d',
             job.id,
             job.queue,
             len(job.steps),
         )
-        if self._owner.recovered.is_set():
-            self._resume(entry)
+        self._resume(entry)
 
     def _take_cancel(self, job: JobId) -> None:
         self._owner.book.cancels.add(job)
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -9,7 +9,7 @@
 
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.book import placements
+from cyclamentrack.jobs.book import Placement, placements
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.ports import (
     Changes,
@@ -85,38 +85,45 @@
         for worker in self._owner.fleet.workers:
             if worker not in present:
                 self._owner.fleet.lose(worker)
-        for row in rows:
-            self._take_worker(row)
+        self._take_rows(rows)
         self._owner.book.see_room(self._owner.fleet.room)
 
     def _take_workers(self, changes: Changes) -> None:
         for key in changes.removed:
             self._owner.fleet.lose(WorkerId(key.key))
-        for row in changes.rows:
-            self._take_worker(row)
+        self._take_rows(changes.rows)
         self._owner.wake()
 
-    def _take_worker(self, row: StoredRow) -> None:
+    def _take_rows(self, rows: tuple[StoredRow, ...]) -> None:
+        found = [new for row in rows if (new := self._take_worker(row))]
+        if not found:
+            return
+        recorded: dict[WorkerId, list[Placement]] = {}
+        for placement in placements(self._owner.book):
+            recorded.setdefault(placement.worker, []).append(placement)
+        for worker in found:
+            self._adopt(worker, recorded.get(worker.entry.id, []))
+
+    def _take_worker(self, row: StoredRow) -> Worker | None:
+        """Take in a worker's entry; return the worker if it is new."""
         entry = self._parts.translator.worker(row.key.key, row.body)
         if entry is None or entry.pool != self._owner.claim.pool:
-            return
+            return None
         known = self._owner.fleet.workers.get(entry.id)
         worker = self._owner.fleet.see(entry)
-        if worker is not known:
-            self._adopt(worker)
+        return None if worker is known else worker
 
-    def _adopt(self, worker: Worker) -> None:
+    def _adopt(self, worker: Worker, recorded: list[Placement]) -> None:
         """Charge a worker's recorded runs and begin to hold it."""
         worker.ordered_at = self._owner.claim.claimed_at + _FORMER_OWNER_S
-        for placement in placements(self._owner.book):
-            if placement.worker == worker.entry.id:
-                step = self._owner.book.step_of(placement.task)
-                if step is not None:
-                    worker.take(
-                        task=placement.task,
-                        run=placement.run,
-                        step=step.step,
-                    )
+        for placement in recorded:
+            step = self._owner.book.step_of(placement.task)
+            if step is not None:
+                worker.take(
+                    task=placement.task,
+                    run=placement.run,
+                    step=step.step,
+                )
         watch = WorkerWatch(
             owner=self._owner, worker=worker, greeting=self._greeting
         )
