--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -138,6 +138,17 @@
             return None
         return seen.lease.address
 
+    def ownerless(self) -> list[PoolName]:
+        """Return the pools of which this node knows no living owner."""
+        if self.configuration is None:
+            return []
+        now = trio.current_time()
+        return [
+            pool
+            for pool in self.configuration.pools
+            if pool not in self.owners and not self.board.lives(pool, now=now)
+        ]
+
     def tell_owner(self, pool: PoolName, message: JobKept | CancelKept) -> None:
         """Tell the owner of a slice of something kept, without waiting."""
         owner = self.owners.get(pool)
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -71,9 +71,16 @@
         if not self.loaded.is_set() or self.blind:
             return False
         seen = self.seen.get(pool)
-        if seen is None or seen.lease.released or seen.lease.node == node:
+        if seen is not None and seen.lease.node == node:
             return True
-        return now - seen.changed_at > LAPSE_S
+        return not self.lives(pool, now=now)
+
+    def lives(self, pool: PoolName, *, now: float) -> bool:
+        """Tell whether a lease was seen to be renewed lately."""
+        seen = self.seen.get(pool)
+        if seen is None or seen.lease.released:
+            return False
+        return now - seen.changed_at <= LAPSE_S
 
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
@@ -104,6 +111,7 @@
             page = await self._store.scan(table=CLAIMS, part=part)
             self._take(page.rows)
         self.loaded.set()
+        _log.info('leases read pools=%d', len(self.seen))
 
     def _go_blind(self, error: Exception) -> None:
         if self._blind_since is None:
@@ -160,6 +168,12 @@
     )
     answer = await store.commit(batch)
     if not isinstance(answer, Committed):
+        _log.info(
+            'claim conflicts pool=%s head=%d lease=%d',
+            pool,
+            head.version if head else 0,
+            seen.version if seen else 0,
+        )
         return None
     _log.info(
         'slice claimed pool=%s token=%d former=%s after_ms=%d',
