--- /dev/null
+++ b/features/jobs/partial_outage.feature
@@ -0,0 +1,46 @@
+Feature: A store that answers for some rows only
+
+  Background:
+    Given a job cell of 3 nodes and 4 workers
+
+  Scenario: Nodes that start while leases can not be read claim once they can
+    Given the store leaves the rows of the pool unanswered
+    When every node is restarted
+    And 3 seconds go by
+    And the store answers for all rows
+    And 4 seconds go by
+    Then some node owns the pool
+    When a job of the steps "2" is submitted
+    And 3 seconds go by
+    Then the job is shown as "completed" by every node
+
+  Scenario: A claim succeeds although the node has missed a change of the lease
+    When the owner is killed
+    And every node has missed the last change of the lease
+    And 8 seconds go by
+    Then some node owns the pool
+
+  Scenario: A node that has read no lease never says that no job waits
+    Given the store leaves the rows of the pool unanswered
+    When every node is restarted
+    And 3 seconds go by
+    Then the first node can not tell how many jobs wait
+
+  Scenario: A count that a dead owner has left is not told as that of today
+    Given the store leaves the rows of the pool unanswered
+    When the owner is killed
+    And 4 seconds go by
+    Then the first node can not tell how many jobs wait
+
+  Scenario: A successor that still recovers does not renew its predecessor's count
+    When the owner is killed
+    And the store leaves the jobs unanswered
+    And 6 seconds go by
+    Then some node owns the pool
+    And the first node can not tell how many jobs wait
+
+  Scenario: A node that the store turns away learns from the owner what waits
+    Given the store turns the last node away
+    When a job of the steps "2" waits for permits
+    And 4 seconds go by
+    Then the last node tells that 1 job waits
--- /dev/null
+++ b/features/steps/partial_outage_steps.py
@@ -0,0 +1,80 @@
+"""Steps about a store that leaves some rows unanswered."""
+
+import msgspec
+from behave import given, step, then, when
+
+from cyclamentrack.jobs.records import all_jobs_parts
+from cyclamentrack.metrics import Metrics
+from cyclamentrack_platform.front import Front
+from features.harness.asgi import call_app
+from features.harness.jobworld import POOL, make_step
+
+
+def _world(context):
+    return context.jobs
+
+
+@given('the store leaves the rows of the pool unanswered')
+def silence_pool(context):
+    _world(context).rows.silent_parts.add(POOL)
+
+
+@when('the store leaves the jobs unanswered')
+def silence_jobs(context):
+    _world(context).rows.silent_parts.update(all_jobs_parts(POOL))
+
+
+@step('the store answers for all rows')
+def answer_all(context):
+    _world(context).rows.silent_parts.clear()
+
+
+@when('every node is restarted')
+def restart_nodes(context):
+    world = _world(context)
+    names = list(world.cells)
+    for name in names:
+        world.kill_node(name)
+    for name in names:
+        world.start_node(name)
+
+
+@when('every node has missed the last change of the lease')
+def miss_change(context):
+    for cell in _world(context).cells.values():
+        seen = cell.board.seen[POOL]
+        cell.board.seen[POOL] = msgspec.structs.replace(
+            seen, version=seen.version - 1
+        )
+
+
+@when('a job of the steps "{count:d}" waits for permits')
+def submit_waiting(context, count):
+    world = _world(context)
+    world.advisor.refuses_all = True
+    world.submit(make_step(count))
+
+
+@then('some node owns the pool')
+def check_owned(context):
+    assert _world(context).owner() is not None
+
+
+def _count(context, name):
+    world = _world(context)
+    front = Front(
+        cell=world.cells[name], service=world.services[name], metrics=Metrics()
+    )
+    return world.loop.run(call_app, front.callers, 'GET', '/lookups/', b'', 'h')
+
+
+@then('the first node can not tell how many jobs wait')
+def check_unknown_count(context):
+    reply = _count(context, next(iter(_world(context).cells)))
+    assert reply.status == 503, (reply.status, reply.body)
+
+
+@then('the last node tells that {count:d} job waits')
+def check_count(context, count):
+    reply = _count(context, list(_world(context).cells)[-1])
+    assert reply.json() == {'Waiting': count}, (reply.status, reply.body)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -32,6 +32,7 @@
         self.down = False
         self.refusing: set[str] = set()
         self.resetting: set[str] = set()
+        self.silent_parts: set[str] = set()
         self.lose_replies = 0
         self.late_writes = 0
         self.feed_delay_s = 0.0
@@ -116,7 +117,7 @@
 
     async def commit(self, batch: Batch) -> Committed | Conflict:
         """Apply a batch, perhaps late, perhaps with the reply lost."""
-        await self._enter()
+        await self._enter(_part_of(batch))
         rows = self._rows
         rows.commits += 1
         if rows.watch_commit is not None:
@@ -134,7 +135,7 @@
 
     async def scan(self, *, table: str, part: str) -> Page:
         """Return all rows of a part of a table."""
-        await self._enter()
+        await self._enter(part)
         found = [
             row
             for key, row in self._rows.rows.items()
@@ -152,7 +153,7 @@
 
     async def read(self, key: RowKey) -> StoredRow | None:
         """Return one row."""
-        await self._enter()
+        await self._enter(key.part)
         return self._rows.rows.get(key)
 
     async def follow(self, *, table: str, after: int, wait_s: float) -> Changes:
@@ -167,13 +168,13 @@
         await self._enter()
         return self._rows.changes(table, after)
 
-    async def _enter(self) -> None:
+    async def _enter(self, part: str = '') -> None:
         await trio.sleep(_CALL_S)
         if self._node in self._rows.refusing:
             raise StoreRefusedError(status=503)
         if self._node in self._rows.resetting:
             raise StoreUncertainError(message='connection reset')
-        if self._rows.down:
+        if self._rows.down or part in self._rows.silent_parts:
             await self._lose()
 
     async def _lose(self) -> None:
@@ -181,6 +182,11 @@
         raise StoreUncertainError(message='no answer')
 
 
+def _part_of(batch: Batch) -> str:
+    keys = [key for key, _ in batch.puts] or batch.removes
+    return keys[0].part
+
+
 async def _apply_late(rows: MemoryRows, batch: Batch) -> None:
     await trio.sleep(_LATE_S)
     rows.apply(batch)
