Follow the leases only from a read that is whole

Cause: the watch of leases kept the feed's position before it had read the leases. When a read failed, the next try went on from that position, so the leases were never read and no node considered a claim. Needs a store that answers the first read and not the second: one that leaves some partitions unanswered.

Ruled out: a lease believed alive (a node's own former lease is due at once, and all six had restarted).

The position is now the result of the whole read, so a read that fails has none and is repeated.

--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -88,9 +88,7 @@
         while True:
             try:
                 if version is None:
-                    page = await self._store.scan(table=CLAIMS, part='')
-                    version = page.version
-                    await self._load()
+                    version = await self._load()
                 changes = await self._store.follow(
                     table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
                 )
@@ -105,13 +103,15 @@
             self._take(changes.rows)
             await trio.sleep(_FOLLOW_GAP_S)
 
-    async def _load(self) -> None:
-        parts = await self._store.parts(table=CLAIMS)
-        for part in parts:
+    async def _load(self) -> int:
+        """Read all leases; return the version from which to follow them."""
+        before = await self._store.scan(table=CLAIMS, part='')
+        for part in await self._store.parts(table=CLAIMS):
             page = await self._store.scan(table=CLAIMS, part=part)
             self._take(page.rows)
         self.loaded.set()
         _log.info('leases read pools=%d', len(self.seen))
+        return before.version
 
     def _go_blind(self, error: Exception) -> None:
         if self._blind_since is None:
