Claim a pool whose lease can be read while another's can't

Cause: a node read the leases of all pools in one go before it claimed any, and its claims waited for one another. Each pool's lease is now read by itself and repeated until it is answered; a claim that waits for the store holds up no other. 'A pool whose lease can not be read holds up no other pool' failed before.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -84,7 +84,7 @@
         found = Configuration(
             version=self.version,
             queues=tuple(queues),
-            pools=(POOL,),
+            pools=tuple({POOL: 1, **{one.pool: 1 for one in queues}}),
             max_body_bytes=65536,
         )
         self.loop.run(
--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -14,6 +14,13 @@
     And 3 seconds go by
     Then the job is shown as "completed" by every node
 
+  Scenario: A pool whose lease can not be read holds up no other pool
+    Given a second pool "stage"
+    And the store leaves the rows of the pool unanswered
+    When every node is restarted
+    And 1 second goes by
+    Then some node owns the pool "stage"
+
   Scenario: A claim succeeds although the node has missed a change of the lease
     When the owner is killed
     And every node has missed the last change of the lease
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -3,11 +3,12 @@
 import msgspec
 from behave import given, step, then, when
 
+from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.records import all_jobs_parts
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import Front
 from features.harness.asgi import call_app
-from features.harness.jobworld import POOL, make_step
+from features.harness.jobworld import POOL, make_queue, make_step
 
 
 def _world(context):
@@ -55,6 +56,20 @@
     world.submit(make_step(count))
 
 
+@given('a second pool "{name}"')
+def add_pool(context, name):
+    world = _world(context)
+    queues = [*world.queues.values(), make_queue(name, pool=PoolName(name))]
+    world.configure(*queues)
+    world.loop.sleep(3)
+
+
+@then('some node owns the pool "{name}"')
+def check_pool_owned(context, name):
+    cells = _world(context).cells.values()
+    assert any(PoolName(name) in cell.owners for cell in cells)
+
+
 @then('some node owns the pool')
 def check_owned(context):
     assert _world(context).owner() is not None
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -327,12 +327,12 @@
         while True:
             if not self.leaving and self.configuration is not None:
                 for pool in self.configuration.pools:
-                    await self._consider(pool, nursery)
+                    self._consider(pool, nursery)
             changed = self.board.changed
             with trio.move_on_after(_LOOK_S):
                 await changed.wait()
 
-    async def _consider(self, pool: PoolName, nursery: trio.Nursery) -> None:
+    def _consider(self, pool: PoolName, nursery: trio.Nursery) -> None:
         now = trio.current_time()
         if pool in self.owners or not self.board.due(
             pool, node=self.me.node, now=now
@@ -345,7 +345,7 @@
         if now - since < self._turn_s(pool):
             return
         self._due_since.pop(pool, None)
-        await self._claim(pool, nursery)
+        nursery.start_soon(self._claim, pool, nursery)
 
     def _turn_s(self, pool: PoolName) -> float:
         """Return how long this node lets others claim first, seconds."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -54,6 +54,8 @@
         self.seen: dict[PoolName, SeenLease] = {}
         self.loaded = trio.Event()
         self.changed = trio.Event()
+        self._missing: set[str] = set()
+        self._missed = trio.Event()
         self._store = store
         self._blind_since: float | None = None
 
@@ -68,7 +70,7 @@
         An unchanged lease counts only while the store was watched all along.
         A lease of this node's own earlier life has no owner for certain.
         """
-        if not self.loaded.is_set() or self.blind:
+        if not self.loaded.is_set() or self.blind or pool in self._missing:
             return False
         seen = self.seen.get(pool)
         if seen is not None and seen.lease.node == node:
@@ -84,11 +86,16 @@
 
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_missing)
+            await self._follow_feed()
+
+    async def _follow_feed(self) -> None:
         version: int | None = None
         while True:
             try:
                 if version is None:
-                    version = await self._load()
+                    version = await self._begin()
                 changes = await self._store.follow(
                     table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
                 )
@@ -100,34 +107,61 @@
                 version = None
                 continue
             version = changes.version
+            self._see_again()
             self._take(changes.rows)
             await trio.sleep(_FOLLOW_GAP_S)
 
-    async def _load(self) -> int:
-        """Read all leases; return the version from which to follow them."""
+    async def _begin(self) -> int:
+        """Have all leases read; return the version from which to follow."""
         before = await self._store.scan(table=CLAIMS, part='')
-        for part in await self._store.parts(table=CLAIMS):
-            page = await self._store.scan(table=CLAIMS, part=part)
-            self._take(page.rows)
+        self._missing.update(await self._store.parts(table=CLAIMS))
+        self._missed.set()
         self.loaded.set()
-        _log.info('leases read pools=%d', len(self.seen))
         return before.version
 
+    async def _read_missing(self) -> None:
+        """Read the leases that the feed doesn't bring.
+
+        The store may leave one pool's rows unanswered and serve the others.
+        """
+        while True:
+            await self._missed.wait()
+            self._missed = trio.Event()
+            async with trio.open_nursery() as nursery:
+                for part in self._missing:
+                    nursery.start_soon(self._read_part, part)
+
+    async def _read_part(self, part: str) -> None:
+        while True:
+            try:
+                page = await self._store.scan(table=CLAIMS, part=part)
+            except (StoreUncertainError, StoreRefusedError) as error:
+                _log.warning('leases of pool=%s not read: %s', part, error)
+                await trio.sleep(_RETRY_S)
+                continue
+            self._missing.discard(part)
+            _log.info('leases read pool=%s', part)
+            self._take(page.rows)
+            return
+
     def _go_blind(self, error: Exception) -> None:
         if self._blind_since is None:
             self._blind_since = trio.current_time()
             _log.warning('leases can not be watched: %s', error)
 
+    def _see_again(self) -> None:
+        if self._blind_since is None:
+            return
+        now = trio.current_time()
+        _log.info(
+            'leases are watched again after_s=%.1f', now - self._blind_since
+        )
+        self._blind_since = None
+        for seen in self.seen.values():
+            seen.changed_at = now
+
     def _take(self, rows: tuple[StoredRow, ...]) -> None:
         now = trio.current_time()
-        if self._blind_since is not None:
-            _log.info(
-                'leases are watched again after_s=%.1f',
-                now - self._blind_since,
-            )
-            self._blind_since = None
-            for seen in self.seen.values():
-                seen.changed_at = now
         for row in rows:
             pool = PoolName(row.key.part)
             known = self.seen.get(pool)
