Learn from a claim's conflict which lease stands there

What callers would see: no node claims a pool until its lease changes, which it doesn't once its owner is dead.

Cause: a claim names the version of the lease as the node saw it. A node that missed the last change before the owner died, such as after lost history, claims in vain for ever: each conflict was dropped, though it says which lease stands there.

--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -18,6 +18,7 @@
 from cyclamentrack.jobs.ports import (
     Batch,
     Committed,
+    Conflict,
     Expect,
     HistoryLostError,
     RowStore,
@@ -90,6 +91,12 @@
             nursery.start_soon(self._read_missing)
             await self._follow_feed()
 
+    def learn(self, conflict: Conflict) -> None:
+        """Take in the leases that stood in a claim's way."""
+        self._take(
+            tuple(row for row in conflict.rows if row.key.table == CLAIMS)
+        )
+
     async def _follow_feed(self) -> None:
         version: int | None = None
         while True:
@@ -202,6 +209,7 @@
     )
     answer = await store.commit(batch)
     if not isinstance(answer, Committed):
+        board.learn(answer)
         _log.info(
             'claim conflicts pool=%s head=%d lease=%d',
             pool,
