Never tell a count of waiting jobs that nobody knows

Cause: a node without a lease of the pool answered 0; one with a dead owner's lease answered that owner's last count, and a successor renewed it until it had recovered. All three turn what isn't known into a number.

A lease carries a count only once its owner has recovered. Looked for elsewhere: states are read from the store when no owner answers, and shapes that aren't known refuse nothing.

--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -372,7 +372,6 @@
             claim=f'{self.me.node}/{secrets.token_hex(_CLAIM_BYTES)}',
             address=self.me.address,
             number=0,
-            waiting=former.lease.waiting if former else {},
             shapes=former.lease.shapes if former else (),
         )
         try:
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 import msgspec
 import trio
@@ -37,14 +38,21 @@
 # Renewals of all slices that come within this time share one answer.
 _FOLLOW_GAP_S = 0.3
 _RETRY_S = 0.2
+# Callers are told counts that are at most this old.
+_COUNT_AGE_S = 2.0
 
 
 class SeenLease(msgspec.Struct, kw_only=True, eq=False):
-    """A lease as last seen, and since when it has not changed."""
+    """A lease as last seen, and since when it has not changed.
+
+    It was written after ``written_after``, steady seconds; a lease that was
+    read rather than followed may be of any age.
+    """
 
     lease: Lease
     version: int
     changed_at: float
+    written_after: float = -math.inf
 
 
 class LeaseBoard:
@@ -85,6 +93,15 @@
             return False
         return now - seen.changed_at <= LAPSE_S
 
+    def waiting(
+        self, pool: PoolName, *, now: float
+    ) -> dict[QueueName, int] | None:
+        """Return what waits by queue, ``None`` if that isn't known of now."""
+        seen = self.seen.get(pool)
+        if seen is None or now - seen.written_after > _COUNT_AGE_S:
+            return None
+        return seen.lease.waiting
+
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -99,9 +116,11 @@
 
     async def _follow_feed(self) -> None:
         version: int | None = None
+        heard_at = -math.inf
         while True:
             try:
                 if version is None:
+                    heard_at = -math.inf
                     version = await self._begin()
                 changes = await self._store.follow(
                     table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
@@ -115,7 +134,8 @@
                 continue
             version = changes.version
             self._see_again()
-            self._take(changes.rows)
+            self._take(changes.rows, written_after=heard_at)
+            heard_at = trio.current_time()
             await trio.sleep(_FOLLOW_GAP_S)
 
     async def _begin(self) -> int:
@@ -167,7 +187,9 @@
         for seen in self.seen.values():
             seen.changed_at = now
 
-    def _take(self, rows: tuple[StoredRow, ...]) -> None:
+    def _take(
+        self, rows: tuple[StoredRow, ...], *, written_after: float = -math.inf
+    ) -> None:
         now = trio.current_time()
         for row in rows:
             pool = PoolName(row.key.part)
@@ -178,6 +200,7 @@
                 lease=decode(row.body, Lease),
                 version=row.version,
                 changed_at=now,
+                written_after=written_after,
             )
         self.changed.set()
         self.changed = trio.Event()
@@ -249,7 +272,7 @@
         waiting: dict[QueueName, int] | None,
         shapes: tuple[Shape, ...] = (),
     ) -> None:
-        """Renew once; without a count of what waits the last one stays.
+        """Renew once; without a count of what waits it stays unknown.
 
         A lease that was released isn't renewed any more. Raises
         ``OwnershipLostError`` when another claim stands there.
--- a/packages/cyclamentrack/cyclamentrack/jobs/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/messages.py
@@ -20,6 +20,18 @@
     state: JobState | None = None
 
 
+class AskWaiting(msgspec.Struct, frozen=True, kw_only=True, tag='ask-waiting'):
+    """Ask the owner of a slice how many jobs wait."""
+
+    pool: PoolName
+
+
+class WaitingIs(msgspec.Struct, frozen=True, kw_only=True, tag='waiting'):
+    """The owner's counts by queue; ``None`` from one that can't tell."""
+
+    counts: dict[QueueName, int] | None = None
+
+
 class ForwardShow(msgspec.Struct, frozen=True, kw_only=True, tag='fwd-show'):
     """Tell a job's state for a node that knows neither owner nor store."""
 
@@ -93,6 +105,8 @@
 JobCellMessage = (
     AskJobState
     | JobStateIs
+    | AskWaiting
+    | WaitingIs
     | ForwardShow
     | ShownIs
     | AskPermits
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -25,8 +25,9 @@
     """Who owns a slice; renewed while its owner lives.
 
     ``released`` says that the owner has handed the slice over. ``waiting``
-    counts by queue the jobs of which no task has started, and ``shapes`` are
-    those of all workers that the pool has had.
+    counts by queue the jobs of which no task has started, ``None`` until the
+    owner has recovered; ``shapes`` are those of all workers that the pool has
+    had.
     """
 
     node: str
@@ -34,7 +35,7 @@
     address: str
     number: int
     released: bool = False
-    waiting: dict[QueueName, int] = msgspec.field(default_factory=dict)
+    waiting: dict[QueueName, int] | None = None
     shapes: tuple[Shape, ...] = ()
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -7,6 +7,7 @@
 import logging
 
 import msgspec
+import trio
 
 from cyclamentrack.codec import decode
 from cyclamentrack.errors import PeerSilentError, StoreUncertainError
@@ -23,6 +24,7 @@
 from cyclamentrack.jobs.messages import (
     AskJobState,
     AskPermits,
+    AskWaiting,
     CancelKept,
     ForwardCancel,
     ForwardShow,
@@ -33,6 +35,7 @@
     PermitsAre,
     ShownIs,
     Verdict,
+    WaitingIs,
     YieldSlice,
 )
 from cyclamentrack.jobs.model import Job, JobId, JobState, Queue, QueueName
@@ -108,13 +111,18 @@
             shown = await self._ask_peers(queue.pool, job)
         return shown
 
-    def waiting(self, queue: QueueName, pool: PoolName) -> int:
-        """Count the queue's jobs of which no task has started."""
-        owner = self._cell.owners.get(pool)
-        if owner is not None and owner.recovered.is_set():
-            return owner.book.waiting().get(queue, 0)
-        seen = self._cell.board.seen.get(pool)
-        return seen.lease.waiting.get(queue, 0) if seen else 0
+    async def waiting(self, queue: QueueName, pool: PoolName) -> int | None:
+        """Count the queue's jobs of which no task has started.
+
+        Returns ``None`` if nobody can tell.
+        """
+        counts = self._own_counts(pool)
+        if counts is None:
+            now = trio.current_time()
+            counts = self._cell.board.waiting(pool, now=now)
+        if counts is None:
+            counts = await self._ask_waiting(pool)
+        return None if counts is None else counts.get(queue, 0)
 
     async def answer_peer(self, message: JobCellMessage) -> JobCellMessage:
         """Answer a request of a peer."""
@@ -129,6 +137,8 @@
                 return Verdict(kept=Kept.KEPT.value)
             case AskPermits():
                 return await self._tell_permits(message)
+            case AskWaiting(pool=pool):
+                return WaitingIs(counts=self._own_counts(pool))
             case ForwardShow(pool=pool, job=job):
                 return await self._tell_shown(pool, job)
             case ForwardSubmit(job=job):
@@ -151,6 +161,12 @@
         if pool in self._cell.owners:
             self._cell.tell_owner(pool, message)
 
+    def _own_counts(self, pool: PoolName) -> dict[QueueName, int] | None:
+        owner = self._cell.owners.get(pool)
+        if owner is None or not owner.recovered.is_set():
+            return None
+        return owner.book.waiting()
+
     def _could_run(self, job: Job) -> bool:
         """Tell whether the pool has had a worker for each of the steps."""
         seen = self._cell.board.seen.get(job.pool)
@@ -201,6 +217,24 @@
             answered=True, granted=found.granted, valid_s=found.valid_s
         )
 
+    async def _ask_waiting(self, pool: PoolName) -> dict[QueueName, int] | None:
+        address = self._cell.owner_address(pool)
+        if address is None:
+            return None
+        try:
+            reply = await self._cell.parts.peers.call(
+                address=address,
+                message=AskWaiting(pool=pool),
+                timeout_s=_OWNER_ANSWER_S,
+            )
+        except PeerSilentError:
+            return None
+        match reply:
+            case WaitingIs(counts=counts):
+                return counts
+            case _:
+                return None
+
     async def _ask_owner(self, pool: PoolName, job: JobId) -> JobState | None:
         address = self._cell.owner_address(pool)
         if address is None:
