Follow the leases from the list of their parts

What callers would see: no node claims any pool while the store leaves the leases' empty part unanswered, which holds nothing: it was read for the feed's position alone.

The list of parts tells the position too, and a lease that the feed brings need not be read. 'Nodes that start while the empty part is unanswered claim at once' fails with that read put back.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -21,6 +21,12 @@
     And 1 second goes by
     Then some node owns the pool "stage"
 
+  Scenario: Nodes that start while the empty part is unanswered claim at once
+    Given the store leaves the rows of no pool unanswered
+    When every node is restarted
+    And 1 second goes by
+    Then some node owns the pool
+
   Scenario: A claim succeeds although the node has missed a change of the lease
     When the owner is killed
     And every node has missed the last change of the lease
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -4,7 +4,7 @@
 from behave import given, step, then, when
 
 from cyclamentrack.ids import PoolName
-from cyclamentrack.jobs.records import all_jobs_parts
+from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import Front
 from features.harness.asgi import call_app
@@ -20,6 +20,11 @@
     _world(context).rows.silent_parts.add(POOL)
 
 
+@given('the store leaves the rows of no pool unanswered')
+def silence_leases_of_none(context):
+    _world(context).rows.silent_scans.add((CLAIMS, ''))
+
+
 @when('the store leaves the jobs unanswered')
 def silence_jobs(context):
     _world(context).rows.silent_parts.update(all_jobs_parts(POOL))
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -12,6 +12,7 @@
     Conflict,
     HistoryLostError,
     Page,
+    PartNames,
     RowKey,
     StoredRow,
     StoreRefusedError,
@@ -33,6 +34,7 @@
         self.refusing: set[str] = set()
         self.resetting: set[str] = set()
         self.silent_parts: set[str] = set()
+        self.silent_scans: set[tuple[str, str]] = set()
         self.lose_replies = 0
         self.late_writes = 0
         self.feed_delay_s = 0.0
@@ -136,6 +138,8 @@
     async def scan(self, *, table: str, part: str) -> Page:
         """Return all rows of a part of a table."""
         await self._enter(part)
+        if (table, part) in self._rows.silent_scans:
+            await self._lose()
         found = [
             row
             for key, row in self._rows.rows.items()
@@ -144,12 +148,11 @@
         found.sort(key=lambda row: row.key.key)
         return Page(rows=tuple(found), version=self._rows.version)
 
-    async def parts(self, *, table: str) -> list[str]:
+    async def parts(self, *, table: str) -> PartNames:
         """Return the parts of a table that hold rows."""
         await self._enter()
-        return sorted(
-            {key.part for key in self._rows.rows if key.table == table}
-        )
+        names = {key.part for key in self._rows.rows if key.table == table}
+        return PartNames(names=tuple(sorted(names)), version=self._rows.version)
 
     async def read(self, key: RowKey) -> StoredRow | None:
         """Return one row."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -131,6 +131,7 @@
                 continue
             except HistoryLostError:
                 version = None
+                await trio.sleep(_RETRY_S)
                 continue
             version = changes.version
             self._see_again()
@@ -140,11 +141,11 @@
 
     async def _begin(self) -> int:
         """Have all leases read; return the version from which to follow."""
-        before = await self._store.scan(table=CLAIMS, part='')
-        self._missing.update(await self._store.parts(table=CLAIMS))
+        parts = await self._store.parts(table=CLAIMS)
+        self._missing.update(parts.names)
         self._missed.set()
         self.loaded.set()
-        return before.version
+        return parts.version
 
     async def _read_missing(self) -> None:
         """Read the leases that the feed doesn't bring.
@@ -155,11 +156,11 @@
             await self._missed.wait()
             self._missed = trio.Event()
             async with trio.open_nursery() as nursery:
-                for part in self._missing:
+                for part in tuple(self._missing):
                     nursery.start_soon(self._read_part, part)
 
     async def _read_part(self, part: str) -> None:
-        while True:
+        while part in self._missing:
             try:
                 page = await self._store.scan(table=CLAIMS, part=part)
             except (StoreUncertainError, StoreRefusedError) as error:
@@ -167,9 +168,8 @@
                 await trio.sleep(_RETRY_S)
                 continue
             self._missing.discard(part)
-            _log.info('leases read pool=%s', part)
             self._take(page.rows)
-            return
+            _log.info('leases read pool=%s', part)
 
     def _go_blind(self, error: Exception) -> None:
         if self._blind_since is None:
@@ -193,6 +193,7 @@
         now = trio.current_time()
         for row in rows:
             pool = PoolName(row.key.part)
+            self._missing.discard(pool)
             known = self.seen.get(pool)
             if known is not None and known.version >= row.version:
                 continue
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -79,6 +79,13 @@
     version: int
 
 
+class PartNames(msgspec.Struct, frozen=True, kw_only=True):
+    """Parts of a table that hold rows, as of ``version``."""
+
+    names: tuple[str, ...]
+    version: int
+
+
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
     """Rows that changed up to ``version``, and keys that were removed."""
 
@@ -122,7 +129,7 @@
     async def scan(self, *, table: str, part: str) -> Page:
         """Return all rows of a part of a table."""
 
-    async def parts(self, *, table: str) -> list[str]:
+    async def parts(self, *, table: str) -> PartNames:
         """Return the parts of a table that hold rows."""
 
     async def read(self, key: RowKey) -> StoredRow | None:
