Hold a refusal of permits against a worker, not against its step

Callers saw a job wait although workers that could run it were idle. A step of which all workers named so far were refused asked nobody for 8 s, and then the same workers again: neither a worker that had joined nor one beyond the 30 that a call names. And a worker that had restarted stayed refused as long as another worker was good.

A refusal now holds for one life of one worker; where no worker is good it ends after the same 8 s.

Evidence: on the old code three of three new scenarios fail, "A job with nothing running asks for workers that join after a refusal", "A job that the first 30 workers may not run asks for the others" and "A worker that began a new life is asked for anew"; all three pass now.

--- /dev/null
+++ b/features/decisions/starvation.feature
@@ -0,0 +1,24 @@
+Feature: No job stays without a run while workers that may run it have room
+
+  Scenario: A job with nothing running asks for workers that join after a refusal
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 2 tasks is submitted that only the workers "4" may run
+    And 2 seconds go by
+    And worker 4 joins
+    And 3 seconds go by
+    Then some task of the last job has started
+
+  Scenario: A job that the first 30 workers may not run asks for the others
+    Given a pool of 36 workers with urgent and patient queues
+    When a patient job of 2 tasks is submitted that only the workers "8 9" may run
+    And 3 seconds go by
+    Then some task of the last job has started
+
+  Scenario: A worker that began a new life is asked for anew
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 2 tasks is submitted that only the workers "0" may run
+    And worker 0 falls silent
+    And 8 seconds go by
+    And worker 1 begins a new life in which it may run the job
+    And 3 seconds go by
+    Then a task of the last job runs on worker 1
--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -134,10 +134,15 @@
                 return name
         return None
 
+    @property
+    def next_job(self):
+        """The id that the next job will have."""
+        return JobId(f'{self._jobs + 1:016x}')
+
     def submit(self, *steps, queue='lookups', work_s=1.0, fails=0, node=None):
         """Hand a job in and return its id and what the node answered."""
+        job = self.next_job
         self._jobs += 1
-        job = JobId(f'{self._jobs:016x}')
         for number, step in enumerate(steps):
             self.workers.behaviours[job, number] = Behaviour(
                 step=step, work_s=work_s, fails=fails
--- /dev/null
+++ b/features/steps/starvation_steps.py
@@ -0,0 +1,87 @@
+"""Steps about jobs that few workers may run."""
+
+from behave import given, step, then, when
+
+from cyclamentrack.ids import WorkerId
+from features.harness.jobworld import POOL, make_step
+
+_CORES = 16
+
+
+def _named(numbers):
+    return {WorkerId(f'w{number}') for number in numbers.split()}
+
+
+def _submit(context, work, *, only, queue, work_s=1.0):
+    world = context.jobs
+    world.advisor.good[world.next_job] = _named(only)
+    context.job = world.submit(work, queue=queue, work_s=work_s)[0]
+    context.submitted.append(context.job)
+
+
+@given('worker {number:d} is on probation for {seconds:g} seconds')
+def suspect_one(context, number, seconds):
+    world = context.jobs
+    owner = world.cells[world.owner()].owners[POOL]
+    worker = owner.fleet.workers[WorkerId(f'w{number}')]
+    worker.suspect_until = world.loop.run(world.now) + seconds
+
+
+@when(
+    'a patient job of {count:d} tasks is submitted '
+    'that only the workers "{only}" may run'
+)
+def submit_small(context, count, only):
+    _submit(context, make_step(count), only=only, queue='batch')
+
+
+@when('a whole-worker job is submitted that only the workers "{only}" may run')
+def submit_large(context, only):
+    work = make_step(1, cores=_CORES, estimate=5.0)
+    _submit(context, work, only=only, queue='batch')
+
+
+@when('a gang is submitted that only the workers "{only}" may run')
+def submit_gang(context, only):
+    count = len(only.split())
+    work = make_step(count, cores=_CORES, gang=True)
+    _submit(context, work, only=only, queue='gangs')
+
+
+@when('whole-worker jobs of {work_s:g} seconds fill the workers "{numbers}"')
+def fill_workers(context, work_s, numbers):
+    for number in numbers.split():
+        work = make_step(1, cores=_CORES, estimate=work_s)
+        _submit(context, work, only=number, queue='batch', work_s=work_s)
+    context.jobs.loop.sleep(1.0)
+
+
+@step('worker {number:d} joins')
+def join_worker(context, number):
+    context.jobs.add_worker(number)
+
+
+@step('worker {number:d} leaves')
+def leave_worker(context, number):
+    silence_worker(context, number)
+    context.jobs.drop_worker_entry(number)
+
+
+@step('worker {number:d} falls silent')
+def silence_worker(context, number):
+    context.jobs.workers.workers[WorkerId(f'w{number}')].silent = True
+
+
+@step('worker {number:d} begins a new life in which it may run the job')
+def renew_worker(context, number):
+    world = context.jobs
+    world.workers.workers[WorkerId(f'w{number}')].crash(life=2)
+    world.add_worker(number, life=2)
+    world.advisor.good[context.job].add(WorkerId(f'w{number}'))
+
+
+@then('a task of the last job runs on worker {number:d}')
+def check_runs_on(context, number):
+    starts = context.jobs.workers.starts
+    on = {name for _, task, _, name in starts if task.job == context.job}
+    assert WorkerId(f'w{number}') in on, on
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -29,8 +29,7 @@
 # A lane has one call at a time, so an answer is this late only if it is lost.
 _CALL_SLACK_S = 0.6
 _RETRY_PAUSE_S = 0.3
-# A step that no worker may run is asked for again after this, since workers
-# come and go.
+# Workers of a step that no worker may run are asked for again after this.
 _NONE_GOOD_PAUSE_S = 8.0
 
 LaneCall = Callable[
@@ -45,11 +44,16 @@
     life: int
 
 
+class _Refused(msgspec.Struct, frozen=True, array_like=True):
+    again_at: float
+    life: int
+
+
 class StepPermits(msgspec.Struct, kw_only=True, eq=False):
     """What is known of one step: good workers, bad ones, fresh permits."""
 
     good: dict[WorkerId, _Granted] = msgspec.field(default_factory=dict)
-    bad: set[WorkerId] = msgspec.field(default_factory=set)
+    bad: dict[WorkerId, _Refused] = msgspec.field(default_factory=dict)
     asking: bool = False
     not_before: float = 0.0
 
@@ -62,6 +66,30 @@
             return ''
         return granted.permit
 
+    def barred(self, worker: WorkerId, *, now: float, life: int) -> bool:
+        """Tell whether a worker was refused and need not be asked for again.
+
+        A refusal holds for one life of the worker, and while no other worker
+        is good only for a time.
+        """
+        refused = self.bad.get(worker)
+        if refused is None or refused.life != life:
+            return False
+        return bool(self.good) or now < refused.again_at
+
+    def take_in(
+        self, answer: Permits, *, asked: dict[WorkerId, int], now: float
+    ) -> None:
+        """Note an answer for the workers that were asked for, with lives."""
+        for worker, life in asked.items():
+            permit = answer.granted.get(worker)
+            if permit is None:
+                self.good.pop(worker, None)
+                self.bad[worker] = _Refused(now + _NONE_GOOD_PAUSE_S, life)
+            else:
+                self.bad.pop(worker, None)
+                self.good[worker] = _Granted(permit, now + answer.valid_s, life)
+
 
 class PermitCall(msgspec.Struct, frozen=True, kw_only=True):
     """A call that a step wishes for.
@@ -182,13 +210,8 @@
         if answer is None:
             known.not_before = now + _RETRY_PAUSE_S
             return
-        for worker, permit in answer.granted.items():
-            known.good[worker] = _Granted(
-                permit,
-                now + answer.valid_s,
-                wish.workers.get(worker, 0),
-            )
-        known.bad.update(set(named) - set(answer.granted))
-        if not known.good:
-            known.bad.clear()
-            known.not_before = now + _NONE_GOOD_PAUSE_S
+        known.take_in(
+            answer,
+            asked={worker: wish.workers[worker] for worker in named},
+            now=now,
+        )
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -11,7 +11,7 @@
 from cyclamentrack.jobs.gangs import GangPlan
 from cyclamentrack.jobs.layout import suits
 from cyclamentrack.jobs.order import prospect_of
-from cyclamentrack.jobs.permits import PermitBook
+from cyclamentrack.jobs.permits import PermitBook, StepPermits
 from cyclamentrack.jobs.rounds import PermitWish, RoundState
 
 _NEVER = float('inf')
@@ -48,7 +48,7 @@
         candidates = [
             worker
             for worker in state.within_reach(step)
-            if worker.entry.id not in known.bad
+            if not _barred(known, worker, state)
             and (not known.good or worker.entry.id in known.good)
             and worker.entry.id not in state.kept
             and suits(step, worker)
@@ -71,11 +71,11 @@
         ]
         if entry.queue.permits is None or not left:
             return
-        bad = self._permits.of(step.name).bad
+        known = self._permits.of(step.name)
         wanted = [
             worker
             for worker in state.eligible(step)
-            if worker.entry.id not in bad
+            if not _barred(known, worker, state)
         ]
         room_left = state.neglected(step) or state.demand.admit(step, len(left))
         if not wanted:
@@ -135,7 +135,7 @@
         return [
             worker
             for worker in state.usable
-            if worker.entry.id not in known.bad
+            if not _barred(known, worker, state)
             and worker.entry.id not in known.good
             and suits(step, worker)
             and need.fits(worker.entry.capacity)
@@ -162,5 +162,9 @@
             )
 
 
+def _barred(known: StepPermits, worker: Worker, state: RoundState) -> bool:
+    return known.barred(worker.entry.id, now=state.now, life=worker.life)
+
+
 def _distinct(workers: list[Worker]) -> list[Worker]:
     return list({worker.entry.id: worker for worker in workers}.values())
