Ask for unknown workers with room although another worker is good

Cause: a step that keeps room asked for workers of which it knew nothing only while no worker was good, or along with a renewal. After a claim the first call names the workers that have answered so far. If one of them is good but busy, workers that answered a moment later, or joined, were never asked for.

On the old code the new scenario "A large task whose only good worker has left goes to one that joins" fails.

Ruled out: permits that ended before use, lanes without an answer, workers on probation; none of these lines is there for the pool in that time.

--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -8,6 +8,16 @@
     And 3 seconds go by
     Then some task of the last job has started
 
+  Scenario: A large task whose only good worker has left goes to one that joins
+    Given a pool of 4 workers with urgent and patient queues
+    When a patient job of 40 tasks of 2 seconds is submitted
+    And a whole-worker job is submitted that only the workers "0 4" may run
+    And 1 second goes by
+    And worker 0 leaves
+    And worker 4 joins
+    And 3 seconds go by
+    Then some task of the last job has started
+
   Scenario: A job that the first 30 workers may not run asks for the others
     Given a pool of 36 workers with urgent and patient queues
     When a patient job of 2 tasks is submitted that only the workers "8 9" may run
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -9,7 +9,7 @@
 from cyclamentrack.jobs.book import JobRun, StepRun
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import GangPlan
-from cyclamentrack.jobs.layout import suits
+from cyclamentrack.jobs.layout import suits, with_room
 from cyclamentrack.jobs.order import prospect_of
 from cyclamentrack.jobs.permits import PermitBook, StepPermits
 from cyclamentrack.jobs.rounds import PermitWish, RoundState
@@ -115,12 +115,17 @@
             )
         ]
         unknown = self._unknown(step, state)
-        if due or (unknown and not known.good):
+        roomy = [
+            worker
+            for worker in with_room(step, unknown)
+            if state.open_to(step, worker)
+        ]
+        if due or roomy or (unknown and not known.good):
             state.outcome.wishes.append(
                 PermitWish(
                     entry=entry,
                     step=step,
-                    workers=_distinct([*due, *unknown]),
+                    workers=_distinct([*due, *roomy, *unknown]),
                 ),
             )
 
