Let refused workers not hide a starved job's good one on probation

Callers could see a job wait with nothing running beside idle workers: a job that has waited for a while may use workers on probation, but only if no other worker had room, and workers that may not run it counted as such. Nor was anybody asked whether the workers on probation may run it.

Refused workers are now left out first, and a starved job asks for workers on probation too.

Evidence: "A starved job gets its good worker on probation, others being idle" and "A starved large task gets its good worker on probation" fail without the change.

--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -1,5 +1,19 @@
 Feature: No job stays without a run while workers that may run it have room
 
+  Scenario: A starved job gets its good worker on probation, others being idle
+    Given a pool of 4 workers with urgent and patient queues
+    And worker 0 is on probation for 20 seconds
+    When a patient job of 2 tasks is submitted that only the workers "0" may run
+    And 3 seconds go by
+    Then some task of the last job has started
+
+  Scenario: A starved large task gets its good worker on probation
+    Given a pool of 4 workers with urgent and patient queues
+    And worker 0 is on probation for 20 seconds
+    When a whole-worker job is submitted that only the workers "0" may run
+    And 3 seconds go by
+    Then some task of the last job has started
+
   Scenario: A job with nothing running asks for workers that join after a refusal
     Given a pool of 4 workers with urgent and patient queues
     When a patient job of 2 tasks is submitted that only the workers "4" may run
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -103,7 +103,7 @@
     def _place_step(
         self, entry: JobRun, step: StepRun, state: RoundState
     ) -> None:
-        eligible = state.eligible(step)
+        eligible = state.eligible(step, self._permits.of(step.name))
         if not eligible:
             return
         permit_of = self._permit_lookup(entry, step, state.now)
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -12,6 +12,7 @@
 from cyclamentrack.jobs.layout import with_room
 from cyclamentrack.jobs.model import TaskName
 from cyclamentrack.jobs.order import latest_start
+from cyclamentrack.jobs.permits import StepPermits
 from cyclamentrack.resources import NOTHING
 
 # Of the workers one in so many has room kept at a time, beyond one plan's.
@@ -159,13 +160,14 @@
         )
         return tasks[:count]
 
-    def eligible(self, step: StepRun) -> list[Worker]:
+    def eligible(self, step: StepRun, known: StepPermits) -> list[Worker]:
         """Return the workers that have room which is kept for nobody else.
 
-        A job that has waited with nothing running may use room that is kept
-        for too long, and workers on probation, unless the pool is busy.
+        Workers whose permit was refused are left out. A job that has waited
+        with nothing running may use room that is kept for too long, and
+        workers on probation, unless the pool is busy.
         """
-        roomy = with_room(step, self.usable)
+        roomy = self._not_refused(with_room(step, self.usable), known)
         found = [worker for worker in roomy if self.open_to(step, worker)]
         if found or not self.neglected(step):
             return found
@@ -174,7 +176,9 @@
         kept_long = [
             worker for worker in roomy if self.kept[worker.entry.id] > bound
         ]
-        return kept_long or with_room(step, self.suspects)
+        return kept_long or self._not_refused(
+            with_room(step, self.suspects), known
+        )
 
     def within_reach(self, step: StepRun) -> list[Worker]:
         """Return the workers that a step may wait for."""
@@ -190,6 +194,15 @@
             return False
         return not entry.placed
 
+    def _not_refused(
+        self, workers: list[Worker], known: StepPermits
+    ) -> list[Worker]:
+        return [
+            worker
+            for worker in workers
+            if not known.barred(worker.entry.id, now=self.now, life=worker.life)
+        ]
+
 
 def _headroom(usable: list[Worker], *, urgent_queues: bool) -> Headroom:
     return Headroom(
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -72,11 +72,7 @@
         if entry.queue.permits is None or not left:
             return
         known = self._permits.of(step.name)
-        wanted = [
-            worker
-            for worker in state.eligible(step)
-            if not _barred(known, worker, state)
-        ]
+        wanted = state.eligible(step, known)
         room_left = state.neglected(step) or state.demand.admit(step, len(left))
         if not wanted:
             self._prepare(entry, step, state)
@@ -139,7 +135,7 @@
         need = charge(step.step)
         return [
             worker
-            for worker in state.usable
+            for worker in state.within_reach(step)
             if not _barred(known, worker, state)
             and worker.entry.id not in known.good
             and suits(step, worker)
