--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -65,7 +65,7 @@
 def add_pool(context, name):
     world = _world(context)
     queues = [*world.queues.values(), make_queue(name, pool=PoolName(name))]
-    world.configure(*queues)
+    world.configure(*queues, pools=(POOL, PoolName(name)))
     world.loop.sleep(3)
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -1,6 +1,5 @@
 """One node of the job cell: membership, claims, and the slices it owns."""
 
-import hashlib
 import logging
 import secrets
 from collections.abc import Callable, Sequence
@@ -51,16 +50,14 @@
     Member,
     member_key,
 )
+from cyclamentrack.jobs.turns import capacity_class, claim_wait_s
+from cyclamentrack.patience import Patience
 from cyclamentrack.ports import Peers
 
 _log = logging.getLogger(__name__)
 
 _CLAIM_BYTES = 6
 _LOOK_S = 0.25
-# Nodes claim in turn, so that one claim wins without a race.
-_TURN_S = 0.25
-# A node that owns a slice lets others go first.
-_OWNER_HANDICAP_S = 0.6
 # A node that lost a slice doesn't claim it again within the workers' notion
 # of two holders that take turns.
 _COOLDOWN_S = 3.2
@@ -72,6 +69,9 @@
 _HANDOVER_S = 1.5
 # A renewal that takes longer has failed; a slow store takes a quarter.
 _RENEW_WAIT_S = 0.6
+# A renewal has to wait for its turn in the loop so often; while that takes
+# long, the next one begins sooner.
+_LAPS = 5
 # Replies of the store are lost at times. An owner that it has left for longer
 # than this asks its peers to claim, rather than wait for its lease to lapse.
 _YIELD_AFTER_S = 0.55
@@ -91,6 +91,7 @@
     tuning: Tuning
     peers: Peers
     wall_clock: Callable[[], float]
+    patience: Patience = msgspec.field(default_factory=Patience)
 
 
 class JobCell:
@@ -117,6 +118,7 @@
         """Follow the cell and own slices until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self.parts.patience.run)
             nursery.start_soon(self._join)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_members)
@@ -171,9 +173,15 @@
 
     async def take_over(self, pool: PoolName, claim: str) -> bool:
         """Claim a slice whose owner can't reach the store and says so."""
+        if self.leaving or self.board.blind or not self._nursery:
+            return False
+        try:
+            await self.board.refresh(pool)
+        except (StoreUncertainError, StoreRefusedError) as error:
+            _log.warning('pool=%s can not be taken over: %s', pool, error)
+            return False
         seen = self.board.seen.get(pool)
-        known = seen is not None and seen.lease.claim == claim
-        if self.leaving or not known or self.board.blind or not self._nursery:
+        if seen is None or seen.lease.claim != claim:
             return False
         await self._claim(pool, self._nursery)
         return pool in self.owners
@@ -334,6 +342,8 @@
 
     def _consider(self, pool: PoolName, nursery: trio.Nursery) -> None:
         now = trio.current_time()
+        if pool in self._claiming:
+            return
         if pool in self.owners or not self.board.due(
             pool, node=self.me.node, now=now
         ):
@@ -345,21 +355,42 @@
         if now - since < self._turn_s(pool):
             return
         self._due_since.pop(pool, None)
-        nursery.start_soon(self._claim, pool, nursery)
+        self._claiming.add(pool)
+        nursery.start_soon(self._finish_claim, pool, nursery)
 
     def _turn_s(self, pool: PoolName) -> float:
-        """Return how long this node lets others claim first, seconds."""
+        """Return how long this node lets others claim first, seconds.
+
+        What it owned in its former life it claims at once, unless there are
+        more capable nodes.
+        """
+        members = {**self.members, self.me.node: self.me}
         former = self.board.seen.get(pool)
-        if former is not None and former.lease.node == self.me.node:
+        known = former is not None and former.lease.node == self.me.node
+        if known and capacity_class(self.me, members.values()) == 0:
             return 0.0
-        names = sorted({*self.members, self.me.node}, key=_rank_in(pool))
-        handicap = _OWNER_HANDICAP_S if self.owners else 0.0
-        return names.index(self.me.node) * _TURN_S + handicap
+        owning = self._owning()
+        if self.owners or self._claiming:
+            owning.add(self.me.node)
+        return claim_wait_s(pool, self.me.node, members=members, owning=owning)
+
+    def _owning(self) -> set[str]:
+        """Return the nodes that own a slice, as far as is known."""
+        return {
+            seen.lease.node
+            for seen in self.board.seen.values()
+            if not seen.lease.released
+        }
 
     async def _claim(self, pool: PoolName, nursery: trio.Nursery) -> None:
         if pool in self.owners or pool in self._claiming:
             return
         self._claiming.add(pool)
+        await self._finish_claim(pool, nursery)
+
+    async def _finish_claim(
+        self, pool: PoolName, nursery: trio.Nursery
+    ) -> None:
         try:
             await self._try_claim(pool, nursery)
         finally:
@@ -441,7 +472,8 @@
             began = trio.current_time()
             if await self._renew_once(owner, keeper):
                 failing_since = None
-                await trio.sleep(RENEW_S)
+                lag_s = self.parts.patience.lag_s
+                await trio.sleep(max(RENEW_S - _LAPS * lag_s, _RETRY_S))
                 continue
             if failing_since is None:
                 failing_since = began
@@ -455,7 +487,7 @@
         if owner.recovered.is_set():
             waiting = owner.book.waiting()
             shapes = owner.fleet.shapes
-        with trio.move_on_after(_RENEW_WAIT_S):
+        with self.parts.patience.limit(_RENEW_WAIT_S):
             try:
                 await keeper.renew(waiting=waiting, shapes=shapes)
             except (StoreUncertainError, StoreRefusedError) as error:
@@ -477,13 +509,10 @@
             raise OwnershipLostError(part=owner.claim.pool)
 
     async def _give_to_peer(self, owner: SliceOwner) -> bool:
-        """Have a peer claim a slice, one that owns nothing if possible."""
+        """Have a peer claim a slice, the most capable that owns least."""
         claim = owner.claim
         message = YieldSlice(pool=claim.pool, claim=claim.id)
-        owning = {seen.lease.address for seen in self.board.seen.values()}
-        peers = self.peer_addresses()
-        peers.sort(key=owning.__contains__)
-        for address in peers:
+        for address in self._successors(claim.pool):
             try:
                 reply = await self.parts.peers.call(
                     address=address, message=message, timeout_s=_YIELD_WAIT_S
@@ -498,6 +527,22 @@
                     return True
         return False
 
+    def _successors(self, pool: PoolName) -> list[str]:
+        """Return the addresses of peers in their order of claims."""
+        owning = self._owning()
+        others = {
+            name: member
+            for name, member in self.members.items()
+            if name != self.me.node
+        }
+        names = sorted(
+            others,
+            key=lambda name: claim_wait_s(
+                pool, name, members=others, owning=owning
+            ),
+        )
+        return [others[name].address for name in names]
+
     async def _release(self, pool: PoolName) -> None:
         owner = self.owners[pool]
         keeper = self._keepers[pool]
@@ -511,10 +556,3 @@
             _log.warning('slice not released pool=%s', pool)
         else:
             _log.info('slice released pool=%s', pool)
-
-
-def _rank_in(pool: PoolName) -> Callable[[str], bytes]:
-    """Return a node's place in the order of claims for a pool."""
-    return lambda node: hashlib.blake2b(
-        f'{pool}/{node}'.encode(), digest_size=8
-    ).digest()
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -102,6 +102,15 @@
             return None
         return seen.lease.waiting
 
+    async def refresh(self, pool: PoolName) -> None:
+        """Read one lease now, rather than wait for the feed.
+
+        Raises ``StoreRefusedError`` or ``StoreUncertainError``.
+        """
+        row = await self._store.read(lease_key(pool))
+        if row is not None:
+            self._take((row,))
+
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
         async with trio.open_nursery() as nursery:
