--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -140,6 +140,17 @@
             return None
         return seen.lease.address
 
+    def ownerless(self) -> list[PoolName]:
+        """Return the pools of which this node knows no living owner."""
+        if self.configuration is None:
+            return []
+        now = trio.current_time()
+        return [
+            pool
+            for pool in self.configuration.pools
+            if pool not in self.owners and not self.board.lives(pool, now=now)
+        ]
+
     def tell_owner(self, pool: PoolName, message: JobKept | CancelKept) -> None:
         """Tell the owner of a slice of something kept, without waiting."""
         owner = self.owners.get(pool)
@@ -324,13 +335,15 @@
         while True:
             if not self.leaving and self.configuration is not None:
                 for pool in self.configuration.pools:
-                    await self._consider(pool, nursery)
+                    self._consider(pool, nursery)
             changed = self.board.changed
             with trio.move_on_after(_LOOK_S):
                 await changed.wait()
 
-    async def _consider(self, pool: PoolName, nursery: trio.Nursery) -> None:
+    def _consider(self, pool: PoolName, nursery: trio.Nursery) -> None:
         now = trio.current_time()
+        if pool in self._claiming:
+            return
         if pool in self.owners or not self.board.due(
             pool, node=self.me.node, now=now
         ):
@@ -342,7 +355,8 @@
         if now - since < self._turn_s(pool):
             return
         self._due_since.pop(pool, None)
-        await self._claim(pool, nursery)
+        self._claiming.add(pool)
+        nursery.start_soon(self._finish_claim, pool, nursery)
 
     def _turn_s(self, pool: PoolName) -> float:
         """Return how long this node lets others claim first, seconds.
@@ -356,7 +370,7 @@
         if known and capacity_class(self.me, members.values()) == 0:
             return 0.0
         owning = self._owning()
-        if self.owners:
+        if self.owners or self._claiming:
             owning.add(self.me.node)
         return claim_wait_s(pool, self.me.node, members=members, owning=owning)
 
@@ -372,6 +386,11 @@
         if pool in self.owners or pool in self._claiming:
             return
         self._claiming.add(pool)
+        await self._finish_claim(pool, nursery)
+
+    async def _finish_claim(
+        self, pool: PoolName, nursery: trio.Nursery
+    ) -> None:
         try:
             await self._try_claim(pool, nursery)
         finally:
@@ -384,7 +403,6 @@
             claim=f'{self.me.node}/{secrets.token_hex(_CLAIM_BYTES)}',
             address=self.me.address,
             number=0,
-            waiting=former.lease.waiting if former else {},
             shapes=former.lease.shapes if former else (),
         )
         try:
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 
 import msgspec
 import trio
@@ -18,6 +19,7 @@
 from cyclamentrack.jobs.ports import (
     Batch,
     Committed,
+    Conflict,
     Expect,
     HistoryLostError,
     RowStore,
@@ -36,14 +38,21 @@
 # Renewals of all slices that come within this time share one answer.
 _FOLLOW_GAP_S = 0.3
 _RETRY_S = 0.2
+# Callers are told counts that are at most this old.
+_COUNT_AGE_S = 2.0
 
 
 class SeenLease(msgspec.Struct, kw_only=True, eq=False):
-    """A lease as last seen, and since when it has not changed."""
+    """A lease as last seen, and since when it has not changed.
+
+    It was written after ``written_after``, steady seconds; a lease that was
+    read rather than followed may be of any age.
+    """
 
     lease: Lease
     version: int
     changed_at: float
+    written_after: float = -math.inf
 
 
 class LeaseBoard:
@@ -54,6 +63,8 @@
         self.seen: dict[PoolName, SeenLease] = {}
         self.loaded = trio.Event()
         self.changed = trio.Event()
+        self._missing: set[str] = set()
+        self._missed = trio.Event()
         self._store = store
         self._blind_since: float | None = None
 
@@ -68,12 +79,28 @@
         An unchanged lease counts only while the store was watched all along.
         A lease of this node's own earlier life has no owner for certain.
         """
-        if not self.loaded.is_set() or self.blind:
+        if not self.loaded.is_set() or self.blind or pool in self._missing:
             return False
         seen = self.seen.get(pool)
-        if seen is None or seen.lease.released or seen.lease.node == node:
+        if seen is not None and seen.lease.node == node:
             return True
-        return now - seen.changed_at > LAPSE_S
+        return not self.lives(pool, now=now)
+
+    def lives(self, pool: PoolName, *, now: float) -> bool:
+        """Tell whether a lease was seen to be renewed lately."""
+        seen = self.seen.get(pool)
+        if seen is None or seen.lease.released:
+            return False
+        return now - seen.changed_at <= LAPSE_S
+
+    def waiting(
+        self, pool: PoolName, *, now: float
+    ) -> dict[QueueName, int] | None:
+        """Return what waits by queue, ``None`` if that isn't known of now."""
+        seen = self.seen.get(pool)
+        if seen is None or now - seen.written_after > _COUNT_AGE_S:
+            return None
+        return seen.lease.waiting
 
     async def refresh(self, pool: PoolName) -> None:
         """Read one lease now, rather than wait for the feed.
@@ -86,13 +113,24 @@
 
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._read_missing)
+            await self._follow_feed()
+
+    def learn(self, conflict: Conflict) -> None:
+        """Take in the leases that stood in a claim's way."""
+        self._take(
+            tuple(row for row in conflict.rows if row.key.table == CLAIMS)
+        )
+
+    async def _follow_feed(self) -> None:
         version: int | None = None
+        heard_at = -math.inf
         while True:
             try:
                 if version is None:
-                    page = await self._store.scan(table=CLAIMS, part='')
-                    version = page.version
-                    await self._load()
+                    heard_at = -math.inf
+                    version = await self._begin()
                 changes = await self._store.follow(
                     table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
                 )
@@ -102,35 +140,69 @@
                 continue
             except HistoryLostError:
                 version = None
+                await trio.sleep(_RETRY_S)
                 continue
             version = changes.version
-            self._take(changes.rows)
+            self._see_again()
+            self._take(changes.rows, written_after=heard_at)
+            heard_at = trio.current_time()
             await trio.sleep(_FOLLOW_GAP_S)
 
-    async def _load(self) -> None:
+    async def _begin(self) -> int:
+        """Have all leases read; return the version from which to follow."""
         parts = await self._store.parts(table=CLAIMS)
-        for part in parts:
-            page = await self._store.scan(table=CLAIMS, part=part)
-            self._take(page.rows)
+        self._missing.update(parts.names)
+        self._missed.set()
         self.loaded.set()
+        return parts.version
+
+    async def _read_missing(self) -> None:
+        """Read the leases that the feed doesn't bring.
+
+        The store may leave one pool's rows unanswered and serve the others.
+        """
+        while True:
+            await self._missed.wait()
+            self._missed = trio.Event()
+            async with trio.open_nursery() as nursery:
+                for part in tuple(self._missing):
+                    nursery.start_soon(self._read_part, part)
+
+    async def _read_part(self, part: str) -> None:
+        while part in self._missing:
+            try:
+                page = await self._store.scan(table=CLAIMS, part=part)
+            except (StoreUncertainError, StoreRefusedError) as error:
+                _log.warning('leases of pool=%s not read: %s', part, error)
+                await trio.sleep(_RETRY_S)
+                continue
+            self._missing.discard(part)
+            self._take(page.rows)
+            _log.info('leases read pool=%s', part)
 
     def _go_blind(self, error: Exception) -> None:
         if self._blind_since is None:
             self._blind_since = trio.current_time()
             _log.warning('leases can not be watched: %s', error)
 
-    def _take(self, rows: tuple[StoredRow, ...]) -> None:
+    def _see_again(self) -> None:
+        if self._blind_since is None:
+            return
+        now = trio.current_time()
+        _log.info(
+            'leases are watched again after_s=%.1f', now - self._blind_since
+        )
+        self._blind_since = None
+        for seen in self.seen.values():
+            seen.changed_at = now
+
+    def _take(
+        self, rows: tuple[StoredRow, ...], *, written_after: float = -math.inf
+    ) -> None:
         now = trio.current_time()
-        if self._blind_since is not None:
-            _log.info(
-                'leases are watched again after_s=%.1f',
-                now - self._blind_since,
-            )
-            self._blind_since = None
-            for seen in self.seen.values():
-                seen.changed_at = now
         for row in rows:
             pool = PoolName(row.key.part)
+            self._missing.discard(pool)
             known = self.seen.get(pool)
             if known is not None and known.version >= row.version:
                 continue
@@ -138,6 +210,7 @@
                 lease=decode(row.body, Lease),
                 version=row.version,
                 changed_at=now,
+                written_after=written_after,
             )
         self.changed.set()
         self.changed = trio.Event()
@@ -169,6 +242,13 @@
     )
     answer = await store.commit(batch)
     if not isinstance(answer, Committed):
+        board.learn(answer)
+        _log.info(
+            'claim conflicts pool=%s head=%d lease=%d',
+            pool,
+            head.version if head else 0,
+            seen.version if seen else 0,
+        )
         return None
     _log.info(
         'slice claimed pool=%s token=%d former=%s after_ms=%d',
@@ -202,7 +282,7 @@
         waiting: dict[QueueName, int] | None,
         shapes: tuple[Shape, ...] = (),
     ) -> None:
-        """Renew once; without a count of what waits the last one stays.
+        """Renew once; without a count of what waits it stays unknown.
 
         A lease that was released isn't renewed any more. Raises
         ``OwnershipLostError`` when another claim stands there.
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -9,9 +9,9 @@
 from cyclamentrack.jobs.book import JobRun, StepRun
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import GangPlan
-from cyclamentrack.jobs.layout import suits
+from cyclamentrack.jobs.layout import suits, with_room
 from cyclamentrack.jobs.order import prospect_of
-from cyclamentrack.jobs.permits import PermitBook
+from cyclamentrack.jobs.permits import PermitBook, StepPermits
 from cyclamentrack.jobs.rounds import PermitWish, RoundState
 
 _NEVER = float('inf')
@@ -48,7 +48,7 @@
         candidates = [
             worker
             for worker in state.within_reach(step)
-            if worker.entry.id not in known.bad
+            if not _barred(known, worker, state)
             and (not known.good or worker.entry.id in known.good)
             and worker.entry.id not in state.kept
             and suits(step, worker)
@@ -71,12 +71,8 @@
         ]
         if entry.queue.permits is None or not left:
             return
-        bad = self._permits.of(step.name).bad
-        wanted = [
-            worker
-            for worker in state.eligible(step)
-            if worker.entry.id not in bad
-        ]
+        known = self._permits.of(step.name)
+        wanted = state.eligible(step, known)
         room_left = state.neglected(step) or state.demand.admit(step, len(left))
         if not wanted:
             self._prepare(entry, step, state)
@@ -115,12 +111,17 @@
             )
         ]
         unknown = self._unknown(step, state)
-        if due or (unknown and not known.good):
+        roomy = [
+            worker
+            for worker in with_room(step, unknown)
+            if state.open_to(step, worker)
+        ]
+        if due or roomy or (unknown and not known.good):
             state.outcome.wishes.append(
                 PermitWish(
                     entry=entry,
                     step=step,
-                    workers=_distinct([*due, *unknown]),
+                    workers=_distinct([*due, *roomy, *unknown]),
                 ),
             )
 
@@ -134,8 +135,8 @@
         need = charge(step.step)
         return [
             worker
-            for worker in state.usable
-            if worker.entry.id not in known.bad
+            for worker in state.within_reach(step)
+            if not _barred(known, worker, state)
             and worker.entry.id not in known.good
             and suits(step, worker)
             and need.fits(worker.entry.capacity)
@@ -162,5 +163,9 @@
             )
 
 
+def _barred(known: StepPermits, worker: Worker, state: RoundState) -> bool:
+    return known.barred(worker.entry.id, now=state.now, life=worker.life)
+
+
 def _distinct(workers: list[Worker]) -> list[Worker]:
     return list({worker.entry.id: worker for worker in workers}.values())
