Move a large pool off a small node once a larger one answers

An owner of a lower class of capacity asks, each 6 s, the peers of a higher class that own nothing to claim a pool of 40 workers or more. It is the same hand-over as that of an owner that leaves: the claim fences it at once, runs go on, and the pool moves once, since nothing moves to a lower class.

moves.feature failed before (the pool stayed). It also guards that small pools stay, and that a large pool stays while no large node answers.

--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -41,6 +41,39 @@
     world.loop.sleep(4)
 
 
+@given(
+    'a pool of {workers:d} workers that a small node owns'
+    ' while the {large:d} large ones are dead'
+)
+def start_small_owner(context, workers, large):
+    world = JobWorld()
+    context.jobs = world
+    context.add_cleanup(world.close)
+    context.large = large
+    world.configure(make_queue('lookups', permits=0.02))
+    for number in range(workers):
+        world.add_worker(number)
+    for number in range(3):
+        world.start_node(f'small{number}', **_SMALL)
+    world.loop.sleep(3)
+    assert world.owner().startswith('small')
+    context.claims = []
+    world.rows.watch_commit = lambda batch: _note_claim(context, batch)
+
+
+def _note_claim(context, batch):
+    if {'head', 'lease'} <= {key.key for key, _ in batch.puts}:
+        context.claims.append(batch)
+
+
+@then('a {kind} node owns the pool after {count:d} claim')
+@then('a {kind} node owns the pool after {count:d} claims')
+def check_moved(context, kind, count):
+    owner = context.jobs.owner()
+    assert owner.startswith(kind), owner
+    assert len(context.claims) == count, len(context.claims)
+
+
 @when('all large nodes are started again')
 def start_large(context):
     for name in _large_names(context):
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -76,6 +76,10 @@
 # than this asks its peers to claim, rather than wait for its lease to lapse.
 _YIELD_AFTER_S = 0.55
 _YIELD_WAIT_S = 0.8
+# A small node carries a pool of fewer workers as well as a large one does.
+_LARGE_POOL = 40
+# Twice the time in which two holders may not take turns.
+_MOVE_GAP_S = 6.0
 _PEER_SLACK_S = 0.2
 _TELL_S = 0.5
 
@@ -451,6 +455,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(owner.run)
                 nursery.start_soon(self._renew, owner, keeper)
+                nursery.start_soon(self._move_up, owner)
         except* (OwnershipLostError, OrderFencedError) as lost:
             _log.warning(
                 'slice lost pool=%s token=%d why=%s',
@@ -505,14 +510,29 @@
         Raises ``OwnershipLostError`` once a peer has it; if none can claim,
         the store answers nobody, and the slice stays.
         """
-        if await self._give_to_peer(owner):
+        if await self._give_to_peer(owner, self._successors(owner.claim.pool)):
             raise OwnershipLostError(part=owner.claim.pool)
 
-    async def _give_to_peer(self, owner: SliceOwner) -> bool:
-        """Have a peer claim a slice, the most capable that owns least."""
+    async def _move_up(self, owner: SliceOwner) -> None:
+        """Give a large pool to a node of a higher class, once there is one.
+
+        That node owns nothing yet. The slice can't come back, since nodes of
+        a higher class give nothing to those of a lower one while they run.
+        """
+        while True:
+            await trio.sleep(_MOVE_GAP_S)
+            if owner.fleet.listed < _LARGE_POOL:
+                continue
+            if await self._give_to_peer(owner, self._more_capable(owner)):
+                raise OwnershipLostError(part=owner.claim.pool)
+
+    async def _give_to_peer(
+        self, owner: SliceOwner, addresses: list[str]
+    ) -> bool:
+        """Have the first of some peers that can do so claim a slice."""
         claim = owner.claim
         message = YieldSlice(pool=claim.pool, claim=claim.id)
-        for address in self._successors(claim.pool):
+        for address in addresses:
             try:
                 reply = await self.parts.peers.call(
                     address=address, message=message, timeout_s=_YIELD_WAIT_S
@@ -527,6 +547,27 @@
                     return True
         return False
 
+    def _more_capable(self, owner: SliceOwner) -> list[str]:
+        """Return the addresses of peers of a higher class that own nothing."""
+        members = {**self.members, self.me.node: self.me}
+        everyone = members.values()
+        own = capacity_class(self.me, everyone)
+        owning = {
+            seen.lease.address
+            for seen in self.board.seen.values()
+            if not seen.lease.released
+        }
+        better = {
+            member.address
+            for member in everyone
+            if capacity_class(member, everyone) < own
+        }
+        return [
+            address
+            for address in self._successors(owner.claim.pool)
+            if address in better - owning
+        ]
+
     def _successors(self, pool: PoolName) -> list[str]:
         """Return the addresses of peers in their order of claims."""
         owning = self._owning()
@@ -548,7 +589,7 @@
         keeper = self._keepers[pool]
         owner.pause()
         await owner.journal.flushed()
-        if await self._give_to_peer(owner):
+        if await self._give_to_peer(owner, self._successors(pool)):
             return
         try:
             await keeper.release()
