--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -19,6 +19,7 @@
     def __init__(self):
         self.answers = {}
         self.calls = []
+        self.connections = 0
         self.address = ''
         self._started = threading.Event()
         self._token = None
@@ -46,6 +47,7 @@
 
     async def _answer_all(self, stream):
         """Answer one connection until it ends, in whatever way."""
+        self.connections += 1
         with contextlib.suppress(trio.BrokenResourceError):
             await self._answer_each(stream)
 
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -23,6 +23,7 @@
     wire = WireServer()
     context.add_cleanup(wire.close)
     wire.answers.update({'/a': (200, {}), path: 'silent'})
+    context.wire = wire
     context.script = []
     context.make = lambda: HttpClient(address=wire.address, connections=count)
 
@@ -32,6 +33,22 @@
         await client.call('POST', path, body={}, timeout_s=timeout_s)
 
 
+@when('{count:d} calls are sent together, {times:d} times')
+def send_together(context, count, times):
+    async def run(client):
+        for _ in range(times):
+            async with trio.open_nursery() as nursery:
+                for _ in range(count):
+                    nursery.start_soon(_call, client, '/a', _PATIENCE_S)
+
+    context.script.append(run)
+
+
+@then('{count:d} connections were opened at most')
+def check_connections(context, count):
+    assert 0 < context.wire.connections <= count, context.wire.connections
+
+
 @when('{count:d} calls are given up before they are sent')
 def give_up_at_once(context, count):
     async def run(client):
