Ask for permits on room that a starved large task may take over

Callers could see a large job wait with nothing running beside idle workers whose room was kept for a gang for seconds to come. A job that has waited for a while may take such room, but its permits were renewed only on workers without kept room, so that it had none once its first permits had ended.

Evidence: "A starved large task gets permits for room that is kept for a gang" fails without the change.

--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -46,3 +46,13 @@
     And worker 1 begins a new life in which it may run the job
     And 3 seconds go by
     Then a task of the last job runs on worker 1
+
+  Scenario: A starved large task gets permits for room that is kept for a gang
+    Given a pool of 4 workers with urgent and patient queues
+    And permits hold for 1 second
+    When whole-worker jobs of 5 seconds fill the workers "1 2"
+    And a gang is submitted that only the workers "0 1 2" may run
+    And 0.5 seconds go by
+    And a whole-worker job is submitted that only the workers "0" may run
+    And 2.5 seconds go by
+    Then some task of the last job has started
--- a/features/steps/starvation_steps.py
+++ b/features/steps/starvation_steps.py
@@ -37,7 +37,7 @@
 
 @when('a whole-worker job is submitted that only the workers "{only}" may run')
 def submit_large(context, only):
-    work = make_step(1, cores=_CORES, estimate=5.0)
+    work = make_step(1, cores=_CORES, estimate=9.0)
     _submit(context, work, only=only, queue='batch')
 
 
@@ -56,6 +56,11 @@
     context.jobs.loop.sleep(1.0)
 
 
+@given('permits hold for {seconds:g} second')
+def shorten_permits(context, seconds):
+    context.jobs.advisor.valid_s = seconds
+
+
 @step('worker {number:d} joins')
 def join_worker(context, number):
     context.jobs.add_worker(number)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -364,7 +364,7 @@
         self.good: dict[str, set[WorkerId]] = {}
         self.refuses_all = False
         self._decide_s = decide_s
-        self._valid_s = valid_s
+        self.valid_s = valid_s
         self._lock = trio.Lock()
 
     async def advise(
@@ -382,7 +382,7 @@
                 granted={
                     one: f'{one}/permit' for one in workers if one in good
                 },
-                valid_s=self._valid_s,
+                valid_s=self.valid_s,
             )
         return None
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -45,12 +45,16 @@
         if not left:
             return None
         known = self._permits.of(step.name)
+        kept = set(state.kept)
+        if state.neglected(step):
+            eligible = state.eligible(step, known)
+            kept.difference_update(one.entry.id for one in eligible)
         candidates = [
             worker
             for worker in state.within_reach(step)
             if not _barred(known, worker, state)
             and (not known.good or worker.entry.id in known.good)
-            and worker.entry.id not in state.kept
+            and worker.entry.id not in kept
             and suits(step, worker)
         ]
         plan = state.forecast.plan(
