Let a starved gang join workers on probation to sound ones

Callers could see a gang wait with nothing running although its workers had room: a step that has waited for a while may use workers on probation and room kept for long only if no sound worker was open to it. A gang that needs three workers and found two of them sound got neither a third nor a start.

For a gang the workers are now added until all members have room.

Evidence: "A starved gang uses a worker on probation beside sound ones" fails without the change.

--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -56,3 +56,10 @@
     And a whole-worker job is submitted that only the workers "0" may run
     And 2.5 seconds go by
     Then some task of the last job has started
+
+  Scenario: A starved gang uses a worker on probation beside sound ones
+    Given a pool of 4 workers with urgent and patient queues
+    And worker 0 is on probation for 20 seconds
+    When a gang is submitted that only the workers "0 1 2" may run
+    And 3 seconds go by
+    Then some task of the last job has started
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -36,6 +36,17 @@
     ]
 
 
+def holds_start(step: StepRun, workers: list[Worker]) -> bool:
+    """Tell whether workers have room for one task, or for a whole gang."""
+    spec = step.step
+    if not spec.gang:
+        return bool(workers)
+    limit = spec.max_per_worker or spec.count
+    need = charge(spec)
+    room = sum(min(need.times_in(one.free), limit) for one in workers)
+    return room >= spec.count
+
+
 def lay_out_each(
     step: StepRun,
     tasks: list[TaskRun],
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -9,7 +9,7 @@
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import Forecast, GangPlan
 from cyclamentrack.jobs.headroom import Headroom
-from cyclamentrack.jobs.layout import with_room
+from cyclamentrack.jobs.layout import holds_start, with_room
 from cyclamentrack.jobs.model import TaskName
 from cyclamentrack.jobs.order import latest_start
 from cyclamentrack.jobs.permits import StepPermits
@@ -169,16 +169,13 @@
         """
         roomy = self._not_refused(with_room(step, self.usable), known)
         found = [worker for worker in roomy if self.open_to(step, worker)]
-        if found or not self.neglected(step):
+        if not self.neglected(step) or holds_start(step, found):
             return found
-        idle_since = self._book.jobs[step.name.job].idle_since
-        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
-        kept_long = [
-            worker for worker in roomy if self.kept[worker.entry.id] > bound
-        ]
-        return kept_long or self._not_refused(
-            with_room(step, self.suspects), known
-        )
+        found.extend(self._kept_long(step, roomy))
+        if not holds_start(step, found):
+            suspects = with_room(step, self.suspects)
+            found.extend(self._not_refused(suspects, known))
+        return found
 
     def within_reach(self, step: StepRun) -> list[Worker]:
         """Return the workers that a step may wait for."""
@@ -194,6 +191,17 @@
             return False
         return not entry.placed
 
+    def _kept_long(self, step: StepRun, roomy: list[Worker]) -> list[Worker]:
+        """Return workers whose room is kept from a step for too long."""
+        idle_since = self._book.jobs[step.name.job].idle_since
+        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
+        return [
+            worker
+            for worker in roomy
+            if not self.open_to(step, worker)
+            and self.kept[worker.entry.id] > bound
+        ]
+
     def _not_refused(
         self, workers: list[Worker], known: StepPermits
     ) -> list[Worker]:
