Count workers on probation when a pool is judged busy

Callers could see a job wait with nothing running while under half of the pool was in use. Such a job gets workers on probation and kept room only unless the pool is busy, and the share in use was that of the sound workers alone: with two of five workers idle on probation and two of the other three full the pool counted as two thirds in use instead of 40%.

Evidence: "Idle workers on probation don't count a pool as busy" fails without the change.

--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -63,3 +63,12 @@
     When a gang is submitted that only the workers "0 1 2" may run
     And 3 seconds go by
     Then some task of the last job has started
+
+  Scenario: Idle workers on probation don't count a pool as busy
+    Given a pool of 5 workers with urgent and patient queues
+    And worker 0 is on probation for 20 seconds
+    And worker 1 is on probation for 20 seconds
+    When whole-worker jobs of 8 seconds fill the workers "2 3"
+    And a patient job of 2 tasks is submitted that only the workers "0" may run
+    And 3 seconds go by
+    Then some task of the last job has started
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -100,7 +100,7 @@
         self.prepared = 0
         self.contested: dict[WorkerId, float] = {}
         self.kept: dict[WorkerId, float] = {}
-        self._busy = _is_busy(usable)
+        self._busy = _is_busy([*usable, *suspects])
         self._book = book
         self._forecast: Forecast | None = None
 
@@ -220,11 +220,11 @@
     )
 
 
-def _is_busy(usable: list[Worker]) -> bool:
+def _is_busy(workers: list[Worker]) -> bool:
     """Tell whether most processors or most accelerators are in use."""
     whole = NOTHING
     used = NOTHING
-    for one in usable:
+    for one in workers:
         whole = whole.plus(one.entry.capacity)
         used = used.plus(one.used)
     return used.dominant_share(whole) >= _BUSY_SHARE
