Start a lasting task elsewhere although others of its job run

Callers could see a task that lasts stay away while workers that may run it were idle on probation or kept. Only a job without any run counted as starved, so one that had lost a single lasting task waited for a sound worker. And workers that already had as many tasks of the step as it allows counted as room, which kept the step from looking further.

Each lasting task now counts by itself, from its own last run, however full the pool is. Workers at a step's limit have no room for it.

--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -72,3 +72,11 @@
     And a patient job of 2 tasks is submitted that only the workers "0" may run
     And 3 seconds go by
     Then some task of the last job has started
+
+  Scenario: A lasting task gets a worker on probation while others of its job run
+    Given a pool of 5 workers with urgent and patient queues
+    And worker 3 is on probation for 20 seconds
+    And worker 4 is on probation for 20 seconds
+    When a job of 4 lasting tasks, one a worker, is submitted
+    And 3 seconds go by
+    Then all tasks of the last job have started
--- a/features/steps/starvation_steps.py
+++ b/features/steps/starvation_steps.py
@@ -41,6 +41,12 @@
     _submit(context, work, only=only, queue='batch')
 
 
+@when('a job of {count:d} lasting tasks, one a worker, is submitted')
+def submit_lasting(context, count):
+    work = make_step(count, lasting=True, max_per_worker=1)
+    _submit(context, work, only='0 1 2 3 4', queue='batch')
+
+
 @when('a gang is submitted that only the workers "{only}" may run')
 def submit_gang(context, only):
     count = len(only.split())
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -84,6 +84,7 @@
     failures: int = 0
     checkpoint: str = ''
     placement: Placement | None = None
+    idle_since: float = 0.0
     failed_on: set[WorkerId] = msgspec.field(default_factory=set)
 
     @property
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -5,6 +5,7 @@
 depend on; single accelerators are taken where others are in use already.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -29,13 +30,25 @@
 def with_room(step: StepRun, workers: list[Worker]) -> list[Worker]:
     """Return the workers that have room for a task of a step."""
     need = charge(step.step)
+    full = _at_limit(step)
     return [
         worker
         for worker in workers
-        if suits(step, worker) and need.fits(worker.free)
+        if worker.entry.id not in full
+        and suits(step, worker)
+        and need.fits(worker.free)
     ]
 
 
+def _at_limit(step: StepRun) -> set[WorkerId]:
+    """Return the workers that have as many tasks of a step as they may."""
+    limit = step.step.max_per_worker
+    if not limit:
+        return set()
+    counts = Counter(placement.worker for placement in step.placed)
+    return {worker for worker, count in counts.items() if count >= limit}
+
+
 def holds_start(step: StepRun, workers: list[Worker]) -> bool:
     """Tell whether workers have room for one task, or for a whole gang."""
     spec = step.step
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -203,6 +203,7 @@
             why,
         )
         task.placement = None
+        task.idle_since = trio.current_time()
         self.keep_step(step)
         self._after_end(step)
 
@@ -242,6 +243,7 @@
         if placement.worker != worker.entry.id:
             return None
         task.placement = None
+        task.idle_since = trio.current_time()
         return placement
 
     def _task_done(
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -148,9 +148,11 @@
     def tasks_in_turn(self, entry: JobRun, step: StepRun) -> list[TaskRun]:
         """Return the tasks that may be placed beside urgent queues' room."""
         tasks = step.idle
+        if step.step.lasting:
+            return tasks
         if self.neglected(step):
             return tasks[:1]
-        if entry.queue.priority == 0 or step.step.lasting:
+        if entry.queue.priority == 0:
             return tasks
         count = self.headroom.allowed(
             wanted=len(tasks),
@@ -184,7 +186,15 @@
         return self.usable
 
     def neglected(self, step: StepRun) -> bool:
-        """Tell whether a job has nothing running though the pool has room."""
+        """Tell whether a job has nothing running though the pool has room.
+
+        Each task that lasts counts by itself, however busy the pool is.
+        """
+        if step.step.lasting:
+            since = min(
+                (task.idle_since for task in step.idle), default=self.now
+            )
+            return self.now - max(since, step.opened_at) >= _NEGLECT_S
         entry = self._book.jobs[step.name.job]
         since = max(entry.idle_since, step.opened_at)
         if self._busy or self.now - since < _NEGLECT_S:
