--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -32,6 +32,14 @@
     And 3 seconds go by
     Then some task of the last job has started
 
+  Scenario: A large task asks for a worker that the first call left out
+    Given a pool of 4 workers with urgent and patient queues
+    When whole-worker jobs of 8 seconds fill the workers "0"
+    And worker 1 is on probation for 1 second
+    And a whole-worker job is submitted that only the workers "0 1" may run
+    And 2 seconds go by
+    Then some task of the last job has started
+
   Scenario: A job that the first 30 workers may not run asks for the others
     Given a pool of 36 workers with urgent and patient queues
     When a patient job of 2 tasks is submitted that only the workers "8 9" may run
--- a/features/steps/starvation_steps.py
+++ b/features/steps/starvation_steps.py
@@ -19,7 +19,8 @@
     context.submitted.append(context.job)
 
 
-@given('worker {number:d} is on probation for {seconds:g} seconds')
+@step('worker {number:d} is on probation for {seconds:g} seconds')
+@step('worker {number:d} is on probation for {seconds:g} second')
 def suspect_one(context, number, seconds):
     world = context.jobs
     owner = world.cells[world.owner()].owners[POOL]
