--- a/features/steps/starvation_steps.py
+++ b/features/steps/starvation_steps.py
@@ -19,7 +19,8 @@
     context.submitted.append(context.job)
 
 
-@given('worker {number:d} is on probation for {seconds:g} seconds')
+@step('worker {number:d} is on probation for {seconds:g} seconds')
+@step('worker {number:d} is on probation for {seconds:g} second')
 def suspect_one(context, number, seconds):
     world = context.jobs
     owner = world.cells[world.owner()].owners[POOL]
@@ -37,10 +38,16 @@
 
 @when('a whole-worker job is submitted that only the workers "{only}" may run')
 def submit_large(context, only):
-    work = make_step(1, cores=_CORES, estimate=5.0)
+    work = make_step(1, cores=_CORES, estimate=9.0)
     _submit(context, work, only=only, queue='batch')
 
 
+@when('a job of {count:d} lasting tasks, one a worker, is submitted')
+def submit_lasting(context, count):
+    work = make_step(count, lasting=True, max_per_worker=1)
+    _submit(context, work, only='0 1 2 3 4', queue='batch')
+
+
 @when('a gang is submitted that only the workers "{only}" may run')
 def submit_gang(context, only):
     count = len(only.split())
@@ -56,6 +63,11 @@
     context.jobs.loop.sleep(1.0)
 
 
+@given('permits hold for {seconds:g} second')
+def shorten_permits(context, seconds):
+    context.jobs.advisor.valid_s = seconds
+
+
 @step('worker {number:d} joins')
 def join_worker(context, number):
     context.jobs.add_worker(number)
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -9,7 +9,7 @@
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import Forecast, GangPlan
 from cyclamentrack.jobs.headroom import Headroom
-from cyclamentrack.jobs.layout import with_room
+from cyclamentrack.jobs.layout import holds_start, with_room
 from cyclamentrack.jobs.model import TaskName
 from cyclamentrack.jobs.order import latest_start
 from cyclamentrack.jobs.permits import StepPermits
@@ -100,7 +100,7 @@
         self.prepared = 0
         self.contested: dict[WorkerId, float] = {}
         self.kept: dict[WorkerId, float] = {}
-        self._busy = _is_busy(usable)
+        self._busy = _is_busy([*usable, *suspects])
         self._book = book
         self._forecast: Forecast | None = None
 
@@ -148,9 +148,11 @@
     def tasks_in_turn(self, entry: JobRun, step: StepRun) -> list[TaskRun]:
         """Return the tasks that may be placed beside urgent queues' room."""
         tasks = step.idle
+        if step.step.lasting:
+            return tasks
         if self.neglected(step):
             return tasks[:1]
-        if entry.queue.priority == 0 or step.step.lasting:
+        if entry.queue.priority == 0:
             return tasks
         count = self.headroom.allowed(
             wanted=len(tasks),
@@ -169,16 +171,13 @@
         """
         roomy = self._not_refused(with_room(step, self.usable), known)
         found = [worker for worker in roomy if self.open_to(step, worker)]
-        if found or not self.neglected(step):
+        if not self.neglected(step) or holds_start(step, found):
             return found
-        idle_since = self._book.jobs[step.name.job].idle_since
-        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
-        kept_long = [
-            worker for worker in roomy if self.kept[worker.entry.id] > bound
-        ]
-        return kept_long or self._not_refused(
-            with_room(step, self.suspects), known
-        )
+        found.extend(self._kept_long(step, roomy))
+        if not holds_start(step, found):
+            suspects = with_room(step, self.suspects)
+            found.extend(self._not_refused(suspects, known))
+        return found
 
     def within_reach(self, step: StepRun) -> list[Worker]:
         """Return the workers that a step may wait for."""
@@ -187,13 +186,32 @@
         return self.usable
 
     def neglected(self, step: StepRun) -> bool:
-        """Tell whether a job has nothing running though the pool has room."""
+        """Tell whether a job has nothing running though the pool has room.
+
+        Each task that lasts counts by itself, however busy the pool is.
+        """
+        if step.step.lasting:
+            since = min(
+                (task.idle_since for task in step.idle), default=self.now
+            )
+            return self.now - max(since, step.opened_at) >= _NEGLECT_S
         entry = self._book.jobs[step.name.job]
         since = max(entry.idle_since, step.opened_at)
         if self._busy or self.now - since < _NEGLECT_S:
             return False
         return not entry.placed
 
+    def _kept_long(self, step: StepRun, roomy: list[Worker]) -> list[Worker]:
+        """Return workers whose room is kept from a step for too long."""
+        idle_since = self._book.jobs[step.name.job].idle_since
+        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
+        return [
+            worker
+            for worker in roomy
+            if not self.open_to(step, worker)
+            and self.kept[worker.entry.id] > bound
+        ]
+
     def _not_refused(
         self, workers: list[Worker], known: StepPermits
     ) -> list[Worker]:
@@ -212,11 +230,11 @@
     )
 
 
-def _is_busy(usable: list[Worker]) -> bool:
+def _is_busy(workers: list[Worker]) -> bool:
     """Tell whether most processors or most accelerators are in use."""
     whole = NOTHING
     used = NOTHING
-    for one in usable:
+    for one in workers:
         whole = whole.plus(one.entry.capacity)
         used = used.plus(one.used)
     return used.dominant_share(whole) >= _BUSY_SHARE
