Measure the processor time of a round, by workers and jobs

What a round costs was never measured.

The measurement plays a full pool of mixed jobs without a network.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     'path',
     'control',
     'tombstones',
+    'rounds',
 )
 _READS_LOGS = 'day'
 
--- /dev/null
+++ b/features/harness/fullpool.py
@@ -0,0 +1,261 @@
+"""A full pool without a network: rounds over jobs that wait and runs that end.
+
+Each round some runs end, some wishes for permits are answered, and the
+dispatcher decides. Jobs that are done make room for new ones, so that the
+number of open jobs stays.
+"""
+
+import heapq
+import random
+
+import msgspec
+
+from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.book import JobBook, Phase, Placement, TaskRun
+from cyclamentrack.jobs.dispatch import Dispatcher
+from cyclamentrack.jobs.fleet import Fleet
+from cyclamentrack.jobs.model import (
+    Job,
+    JobId,
+    JobState,
+    PermitPolicy,
+    Queue,
+    QueueName,
+    Step,
+    WorkerEntry,
+    WorkerState,
+)
+from cyclamentrack.jobs.permits import PermitBook, PermitCall
+from cyclamentrack.jobs.ports import Permits
+from cyclamentrack.jobs.rounds import PermitWish
+from cyclamentrack.resources import Resources
+
+_POOL = PoolName('full')
+_PERMIT_S = 2.0
+_PER_RACK = 12
+_LABELS = ('a', 'a', 'b')
+_SIZES = (16, 16, 8, 32)
+_MIB_PER_CORE = 4096
+# Permit calls that the lanes carry in one round.
+_CALLS = 2
+
+
+class Kind(msgspec.Struct, frozen=True, kw_only=True):
+    """One kind of job: its queue, and the shape of its only step."""
+
+    queue: Queue
+    weight: int
+    width: int
+    cores: float
+    work_s: float
+    good: float
+    gang: bool = False
+
+
+def _kind(name: str, *, priority: int, decide_s: float, **shape) -> Kind:
+    queue = Queue(
+        name=QueueName(name),
+        host='h',
+        path_prefix=f'/{name}/',
+        pool=_POOL,
+        priority=priority,
+        stretch=1.5 if priority == 0 else 4.0,
+        target_s=0.25,
+        permits=PermitPolicy(
+            decide_s=decide_s, each_s=decide_s / 70, valid_s=_PERMIT_S
+        ),
+    )
+    return Kind(queue=queue, **shape)
+
+
+LOOKUPS = _kind(
+    'lookups', priority=0, decide_s=0.022, weight=6,
+    width=10, cores=2.7, work_s=0.7, good=0.7,
+)  # fmt: skip
+BATCH = _kind(
+    'batch', priority=2, decide_s=0.21, weight=3,
+    width=22, cores=4.5, work_s=4.5, good=0.45,
+)  # fmt: skip
+GANGS = _kind(
+    'gangs', priority=1, decide_s=0.7, weight=1,
+    width=4, cores=7.0, work_s=4.5, good=0.3, gang=True,
+)  # fmt: skip
+
+
+class FullPool:
+    """A book, a fleet and a dispatcher, in rounds of a fixed length."""
+
+    def __init__(
+        self,
+        *,
+        workers: int,
+        jobs: int,
+        kinds: tuple[Kind, ...] = (LOOKUPS, BATCH, GANGS),
+        round_s: float = 0.01,
+        seed: int = 1,
+    ) -> None:
+        """Hand in the jobs; nothing runs before the first round."""
+        self.now = 100.0
+        self.placed = 0
+        self.ended = 0
+        self.log: list[tuple[str, str]] = []
+        self.book = JobBook()
+        self.fleet = Fleet()
+        self.permits = PermitBook(
+            nursery=None, lanes=dict, on_answer=lambda: None
+        )
+        self.dispatcher = Dispatcher(
+            book=self.book,
+            fleet=self.fleet,
+            permits=self.permits,
+            urgent_queues=lambda: True,
+        )
+        self._chance = random.Random(seed)
+        self._kinds = kinds
+        self._round_s = round_s
+        self._jobs = jobs
+        self._handed_in = 0
+        self._ends: list[tuple[float, int, Placement]] = []
+        for number in range(workers):
+            self.fleet.see(_entry(number))
+        self.book.see_room(self.fleet.room)
+        self._refill()
+
+    @property
+    def waiting_steps(self) -> int:
+        """How many steps have a task that waits."""
+        return sum(bool(step.idle) for step in self.book.open_steps.values())
+
+    def advance(self) -> None:
+        """Let the time of one round pass, with the ends that it brings."""
+        self.now += self._round_s
+        for worker in self.fleet.workers.values():
+            worker.greeted = True
+            worker.life = worker.entry.life
+            worker.heard_at = self.now
+        while self._ends and self._ends[0][0] <= self.now:
+            self._end(heapq.heappop(self._ends)[-1])
+        self._refill()
+
+    def decide(self) -> int:
+        """Decide one round, and return how many tasks it placed."""
+        outcome = self.dispatcher.decide(self.now)
+        for given in outcome.assignments:
+            self._place(given.task, given.worker.entry.id, given.permit)
+        for wish in outcome.wishes[:_CALLS]:
+            self._answer(wish)
+        self.log.extend(
+            (str(given.task.name), given.worker.entry.id)
+            for given in outcome.assignments
+        )
+        self.log.extend(
+            (
+                str(wish.step.name),
+                ','.join(one.entry.id for one in wish.workers),
+            )
+            for wish in outcome.wishes
+        )
+        return len(outcome.assignments)
+
+    def play(self, rounds: int) -> None:
+        """Play some rounds."""
+        for _ in range(rounds):
+            self.advance()
+            self.decide()
+
+    def _refill(self) -> None:
+        while len(self.book.jobs) < self._jobs:
+            self._hand_in()
+
+    def _hand_in(self) -> None:
+        weights = [kind.weight for kind in self._kinds]
+        kind = self._chance.choices(self._kinds, weights)[0]
+        self._handed_in += 1
+        spread = self._chance.uniform(0.5, 1.5)
+        milli_cores = int(kind.cores * spread * 1000)
+        step = Step(
+            count=max(round(kind.width * self._chance.uniform(0.1, 2)), 1),
+            need=Resources(
+                milli_cores=milli_cores,
+                memory_mib=int(milli_cores * 3.5),
+            ),
+            estimate_s=kind.work_s * self._chance.uniform(0.5, 1.5),
+            gang=kind.gang,
+        )
+        job = Job(
+            id=JobId(f'{self._handed_in:016x}'),
+            queue=kind.queue.name,
+            pool=_POOL,
+            payload='',
+            steps=(step,),
+            accepted_at_s=self.now,
+        )
+        entry = self.book.admit(job=job, queue=kind.queue, now=self.now)
+        self.book.open_due_steps(entry, now=self.now, wall_s=self.now)
+
+    def _place(self, task: TaskRun, worker: WorkerId, permit: str) -> None:
+        step = self.book.step_of(task.name).step
+        task.run += 1
+        task.placement = Placement(
+            task=task.name,
+            run=task.run,
+            worker=worker,
+            life=1,
+            phase=Phase.RUNNING,
+            since=self.now,
+            confirmed_at=self.now,
+            permit=permit,
+        )
+        self.placed += 1
+        self.book.jobs[task.name.job].begun = True
+        ends_at = self.now + step.estimate_s
+        heapq.heappush(self._ends, (ends_at, self.placed, task.placement))
+
+    def _end(self, placement: Placement) -> None:
+        self.ended += 1
+        name = placement.task
+        self.fleet.workers[placement.worker].release(
+            task=name, run=placement.run
+        )
+        task = self.book.task(name)
+        task.placement = None
+        task.done = True
+        step = self.book.step_of(name)
+        if step.done:
+            entry = self.book.jobs[name.job]
+            self.permits.forget(step.name)
+            self.book.close(entry, state=JobState.COMPLETED, wall_s=self.now)
+            self.book.drop(entry)
+
+    def _answer(self, wish: PermitWish) -> None:
+        """Grant a wish on the workers that are good for its queue."""
+        kind = next(one for one in self._kinds if one.queue == wish.entry.queue)
+        call = PermitCall(
+            step=wish.step.name,
+            policy=kind.queue.permits,
+            workers={worker.entry.id: worker.life for worker in wish.workers},
+        )
+        known = self.permits.of(wish.step.name)
+        good = {
+            name: 'p'
+            for name in call.named
+            if name in known.good or self._chance.random() < kind.good
+        }
+        answer = Permits(granted=good, valid_s=_PERMIT_S)
+        self.permits.learn(call, answer, now=self.now)
+
+
+def _entry(number: int) -> WorkerEntry:
+    cores = _SIZES[number % len(_SIZES)]
+    return WorkerEntry(
+        id=WorkerId(f'w{number:03}'),
+        pool=_POOL,
+        address=f'w{number}:80',
+        zone='z',
+        capacity=Resources(
+            milli_cores=cores * 1000, memory_mib=cores * _MIB_PER_CORE
+        ),
+        labels=(_LABELS[number % len(_LABELS)], f'r{number // _PER_RACK}'),
+        state=WorkerState.READY,
+        life=1,
+    )
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -123,6 +123,26 @@
         self._keep_own_short = keep_own_short
         self._use_lanes()
 
+    def learn(
+        self, wish: PermitCall, answer: Permits | None, *, now: float
+    ) -> None:
+        """Take in the answer to a call, ``None`` if there was none."""
+        known = self.of(wish.step)
+        known.asking = False
+        if answer is None:
+            known.not_before = now + _RETRY_PAUSE_S
+            return
+        for worker, permit in answer.granted.items():
+            known.good[worker] = _Granted(
+                permit,
+                now + answer.valid_s,
+                wish.workers.get(worker, 0),
+            )
+        known.bad.update(set(wish.named) - set(answer.granted))
+        if not known.good:
+            known.bad.clear()
+            known.not_before = now + _NONE_GOOD_PAUSE_S
+
     def _use_lanes(self) -> None:
         lanes = self._lanes()
         now = trio.current_time()
@@ -167,28 +187,5 @@
             len(answer.granted) if answer else 'none',
             int((trio.current_time() - asked_at) * 1000),
         )
-        self._take_in(wish, answer, named)
+        self.learn(wish, answer, now=trio.current_time())
         self._on_answer()
-
-    def _take_in(
-        self,
-        wish: PermitCall,
-        answer: Permits | None,
-        named: list[WorkerId],
-    ) -> None:
-        known = self.of(wish.step)
-        known.asking = False
-        now = trio.current_time()
-        if answer is None:
-            known.not_before = now + _RETRY_PAUSE_S
-            return
-        for worker, permit in answer.granted.items():
-            known.good[worker] = _Granted(
-                permit,
-                now + answer.valid_s,
-                wish.workers.get(worker, 0),
-            )
-        known.bad.update(set(named) - set(answer.granted))
-        if not known.good:
-            known.bad.clear()
-            known.not_before = now + _NONE_GOOD_PAUSE_S
