Find the workers of a round by their free room

Each waiting step looked at every worker: for its room, twice, for whether it is large, twice, and for permits to renew, each with new objects. Rooms are now held once a round in the order of their processors, and a need that found no room rules out larger ones; whether a step is large is told from the distinct capacities; waiting tasks and the latest start are worked out once a step; a forecast reads only the runs of workers that a plan asks for.

--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -4,7 +4,7 @@
 
 from cyclamentrack.jobs.book import JobBook
 from cyclamentrack.jobs.model import Job, JobId, JobState, QueueName
-from cyclamentrack.jobs.order import latest_start, turn
+from cyclamentrack.jobs.order import latest_start, ready
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
 from features.harness.jobworld import POOL, JobWorld, make_queue, make_step
 
@@ -213,8 +213,8 @@
     book = JobBook()
     entry = book.admit(job=job, queue=queue, now=0.0)
     book.open_due_steps(entry, now=0.0, wall_s=0.0)
-    entry.arrived_at += slack - latest_start(entry, entry.steps[0, 0])
-    return turn(entry, entry.steps[0, 0], 0.0)
+    entry.arrived_at += slack - latest_start(entry, entry.steps[0, 0], count=1)
+    return ready(entry, entry.steps[0, 0]).turn(0.0)
 
 
 @then('a patient job that must start in 1 second goes before one with 9')
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -8,13 +8,12 @@
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun
-from cyclamentrack.jobs.fleet import Fleet, Worker, charge
-from cyclamentrack.jobs.gangs import needs_plan
+from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.layout import lay_out_each, lay_out_gang
 from cyclamentrack.jobs.model import StepName
-from cyclamentrack.jobs.order import Turn, prospect_of, turn
+from cyclamentrack.jobs.order import Ready, Turn, ready
 from cyclamentrack.jobs.permits import PermitBook
-from cyclamentrack.jobs.rounds import Assignment, Round, RoundState
+from cyclamentrack.jobs.rounds import Round, RoundState
 from cyclamentrack.jobs.wishes import Wishes
 
 # A worker that hasn't answered for so long gets nothing new.
@@ -55,78 +54,67 @@
             suspects=[one for one in present if now < one.suspect_until],
             urgent_queues=self._urgent_queues(),
         )
-        ready = self._in_order(now)
-        state.contest(self._claims(ready, state))
+        queued = self._in_order(now)
+        state.contest(self._claims(queued, state))
         former = self._holding
         self._holding = {}
-        for entry, step in ready:
-            self._place_step(entry, step, state)
-            if not needs_plan(step.step, usable):
-                self._wishes.wish(entry, step, state)
+        for one in queued:
+            self._place_step(one, state)
+            if not state.needs_plan(one.step.step):
+                self._wishes.wish(one, state)
                 continue
-            last = former.get(step.name, frozenset())
-            plan = self._wishes.plan(entry, step, state, last)
+            name = one.step.name
+            last = former.get(name, frozenset())
+            plan = self._wishes.plan(one, state, last)
             if plan is not None:
-                self._holding[step.name] = frozenset(plan.starts)
+                self._holding[name] = frozenset(plan.starts)
         return state.outcome
 
-    def _in_order(self, now: float) -> list[tuple[JobRun, StepRun]]:
-        ready = [
-            (self._book.jobs[step.name.job], step)
+    def _in_order(self, now: float) -> list[Ready]:
+        found = (
+            ready(self._book.jobs[step.name.job], step)
             for step in self._book.open_steps.values()
-            if step.idle
-        ]
-        ready.sort(key=lambda pair: self._turn(*pair, now))
-        return ready
+        )
+        return sorted(
+            (one for one in found if one is not None),
+            key=lambda one: self._turn(one, now),
+        )
 
     def _claims(
-        self, ready: list[tuple[JobRun, StepRun]], state: RoundState
+        self, queued: list[Ready], state: RoundState
     ) -> Iterator[set[WorkerId]]:
         """Return the workers that each large step or gang depends on."""
-        for entry, step in ready:
-            good = self._permits.of(step.name).good
-            if not good or not needs_plan(step.step, state.usable):
+        for one in queued:
+            good = self._permits.of(one.step.name).good
+            if not good or not state.needs_plan(one.step.step):
                 continue
-            if prospect_of(entry, step, state.now):
+            if one.hopeful(state.now):
                 yield set(good)
 
-    def _turn(
-        self, entry: JobRun, step: StepRun, now: float
-    ) -> tuple[bool, bool, Turn]:
+    def _turn(self, one: Ready, now: float) -> tuple[bool, bool, Turn]:
         """Return a step's turn: what room is kept for is next to urgent work.
 
         Room that was kept in vain is wasted, so whoever has it keeps it.
         """
-        own = turn(entry, step, now)
-        return own.after_urgent, step.name not in self._holding, own
+        own = one.turn(now)
+        return own.after_urgent, one.step.name not in self._holding, own
 
-    def _place_step(
-        self, entry: JobRun, step: StepRun, state: RoundState
-    ) -> None:
+    def _place_step(self, one: Ready, state: RoundState) -> None:
+        step = one.step
         eligible = state.eligible(step)
         if not eligible:
             return
-        permit_of = self._permit_lookup(entry, step, state.now)
+        permit_of = self._permit_lookup(one.entry, step, state.now)
         allowed = [
             worker for worker in eligible if permit_of(worker) is not None
         ]
         if step.step.gang:
             chosen = lay_out_gang(step, allowed, state.contested)
         else:
-            tasks = state.tasks_in_turn(entry, step)
+            tasks = state.tasks_in_turn(one)
             chosen = lay_out_each(step, tasks, allowed, state.contested)
         for task, worker in chosen:
-            state.headroom.take(charge(step.step).milli_cores)
-            worker.take(task=task.name, run=task.run + 1, step=step.step)
-            state.given.add(task.name)
-            state.outcome.assignments.append(
-                Assignment(
-                    step=step,
-                    task=task,
-                    worker=worker,
-                    permit=permit_of(worker) or '',
-                ),
-            )
+            state.give(step, task, worker, permit_of(worker) or '')
 
     def _permit_lookup(
         self, entry: JobRun, step: StepRun, now: float
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -7,12 +7,14 @@
 moment.
 """
 
+from collections.abc import Iterable
+
 import msgspec
 
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.book import JobBook, Placement, placements
+from cyclamentrack.jobs.book import JobBook, Placement
 from cyclamentrack.jobs.fleet import Worker, charge
-from cyclamentrack.jobs.model import Step
+from cyclamentrack.jobs.model import Step, TaskName
 from cyclamentrack.resources import Resources
 
 _NEVER = float('inf')
@@ -45,23 +47,11 @@
 class Forecast:
     """When the runs under way will give their room back."""
 
-    def __init__(
-        self, *, book: JobBook, workers: list[Worker], now: float
-    ) -> None:
-        """Look at all runs once."""
+    def __init__(self, *, book: JobBook, now: float) -> None:
+        """Look at a worker's runs when a plan first asks for them."""
         self._now = now
-        self._workers = {worker.entry.id: worker for worker in workers}
+        self._book = book
         self._releases: dict[WorkerId, list[_Release]] = {}
-        for placement in placements(book):
-            step = book.step_of(placement.task)
-            worker = self._workers.get(placement.worker)
-            if step is not None and worker is not None:
-                end = expected_end(
-                    placement, step.step, slowness=worker.slowness, now=now
-                )
-                self._releases.setdefault(placement.worker, []).append(
-                    _Release(end, charge(step.step)),
-                )
 
     def plan(
         self,
@@ -97,30 +87,55 @@
         limit = step.max_per_worker or step.count
         found: list[float] = []
         at = self._now
-        releases = sorted(
-            self._releases.get(worker.entry.id, []),
-            key=lambda release: release.at,
-        )
+        releases = iter(self._releases_of(worker))
         while len(found) < min(step.count, limit):
             if need.fits(free):
                 found.append(at)
                 free = free.minus(need)
-            elif releases and releases[0].at < _NEVER:
-                release = releases.pop(0)
-                at = max(at, release.at)
-                free = free.plus(release.need)
-            else:
+                continue
+            release = next(releases, None)
+            if release is None or release.at >= _NEVER:
                 break
+            at = max(at, release.at)
+            free = free.plus(release.need)
         return found
 
+    def _releases_of(self, worker: Worker) -> list[_Release]:
+        """Return the room that a worker's runs will give back, in order."""
+        known = self._releases.get(worker.entry.id)
+        if known is None:
+            found = (self._release(name, worker) for name in worker.holdings)
+            known = sorted(
+                (one for one in found if one is not None),
+                key=lambda release: release.at,
+            )
+            self._releases[worker.entry.id] = known
+        return known
+
+    def _release(
+        self, holding: tuple[TaskName, int], worker: Worker
+    ) -> _Release | None:
+        name, run = holding
+        task = self._book.task(name)
+        step = self._book.step_of(name)
+        if task is None or step is None:
+            return None
+        placement = task.placement
+        if placement is None or placement.run != run:
+            return None
+        end = expected_end(
+            placement, step.step, slowness=worker.slowness, now=self._now
+        )
+        return _Release(end, charge(step.step))
+
 
-def needs_plan(step: Step, workers: list[Worker]) -> bool:
+def needs_plan(step: Step, capacities: Iterable[Resources]) -> bool:
     """Tell whether room must be kept for a step's tasks.
 
-    For gangs, and for tasks that are large on each of the workers.
+    For gangs, and for tasks that are large on workers of each capacity.
     """
     need = charge(step)
-    shares = [need.dominant_share(worker.entry.capacity) for worker in workers]
+    shares = [need.dominant_share(capacity) for capacity in capacities]
     return step.gang or min(shares, default=0.0) >= _LARGE_SHARE
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -12,23 +12,23 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Worker, charge
+from cyclamentrack.jobs.model import Step
 from cyclamentrack.resources import NOTHING
 
 
-def suits(step: StepRun, worker: Worker) -> bool:
+def suits(step: Step, worker: Worker) -> bool:
     """Tell whether a worker's labels and runs allow tasks of a step."""
-    spec = step.step
-    if spec.requires and spec.requires not in worker.entry.labels:
+    if step.requires and step.requires not in worker.entry.labels:
         return False
     holdings = worker.holdings.values()
-    if spec.fills:
+    if step.fills:
         return not any(holding.serving for holding in holdings)
     return True
 
 
-def with_room(step: StepRun, workers: list[Worker]) -> list[Worker]:
+def with_room(step: Step, workers: list[Worker]) -> list[Worker]:
     """Return the workers that have room for a task of a step."""
-    need = charge(step.step)
+    need = charge(step)
     return [
         worker
         for worker in workers
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from cyclamentrack.jobs.book import JobRun, StepRun
+from cyclamentrack.jobs.book import JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.chain import waves
 
 # An end within three times the objective still earns a part.
@@ -48,30 +48,52 @@
     return Prospect.NOTHING
 
 
-def latest_start(entry: JobRun, step: StepRun) -> float:
+class Ready(msgspec.Struct, frozen=True, kw_only=True, eq=False):
+    """A step with tasks that wait, as one round sees it."""
+
+    entry: JobRun
+    step: StepRun
+    waiting: list[TaskRun]
+    latest_start: float
+
+    def turn(self, now: float) -> Turn:
+        """Return when it is the step's turn."""
+        hope = self.prospect(now)
+        latest = self.latest_start + _PRIORITY_S * self.entry.queue.priority
+        if self.step.step.lasting:
+            latest = self.step.opened_at
+        return Turn(
+            self.entry.queue.priority > 0,
+            hope,
+            latest,
+            self.entry.job.id,
+        )
+
+    def prospect(self, now: float) -> Prospect:
+        """Tell what the job can still earn."""
+        return prospect(self.entry, latest=self.latest_start, now=now)
+
+    def hopeful(self, now: float) -> bool:
+        """Tell whether the job can still earn its whole worth or a part."""
+        return self.prospect(now) < Prospect.NOTHING
+
+
+def ready(entry: JobRun, step: StepRun) -> Ready | None:
+    """Return a step as a round sees it, unless none of its tasks waits."""
+    waiting = step.idle
+    if not waiting:
+        return None
+    return Ready(
+        entry=entry,
+        step=step,
+        waiting=waiting,
+        latest_start=latest_start(entry, step, count=len(waiting)),
+    )
+
+
+def latest_start(entry: JobRun, step: StepRun, *, count: int) -> float:
     """Return when a step's waiting tasks must start for the job to be due."""
     number = step.name.step
     room = entry.chain.rooms[number]
-    own_s = step.task_s * waves(step.step, len(step.idle), room)
+    own_s = step.task_s * waves(step.step, count, room)
     return entry.due_by - entry.chain.after_s[number] - own_s
-
-
-def prospect_of(entry: JobRun, step: StepRun, now: float) -> bool:
-    """Tell whether the job can still earn its whole worth or a part."""
-    latest = latest_start(entry, step)
-    return prospect(entry, latest=latest, now=now) < Prospect.NOTHING
-
-
-def turn(entry: JobRun, step: StepRun, now: float) -> Turn:
-    """Return when it is a step's turn."""
-    latest = latest_start(entry, step)
-    hope = prospect(entry, latest=latest, now=now)
-    latest += _PRIORITY_S * entry.queue.priority
-    if step.step.lasting:
-        latest = step.opened_at
-    return Turn(
-        entry.queue.priority > 0,
-        hope,
-        latest,
-        entry.job.id,
-    )
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -23,7 +23,7 @@
     StepRun,
     TaskRun,
 )
-from cyclamentrack.jobs.dispatch import Assignment, Dispatcher, Round
+from cyclamentrack.jobs.dispatch import Dispatcher
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
 from cyclamentrack.jobs.journal import Journal
@@ -54,6 +54,7 @@
     step_key,
 )
 from cyclamentrack.jobs.roster import WorkerRoster
+from cyclamentrack.jobs.rounds import Assignment, Round
 from cyclamentrack.jobs.sickness import EstimateTrust, in_step, suspect
 
 _log = logging.getLogger(__name__)
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -7,12 +7,13 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Worker, charge
-from cyclamentrack.jobs.gangs import Forecast, GangPlan
+from cyclamentrack.jobs.gangs import Forecast, GangPlan, needs_plan
 from cyclamentrack.jobs.headroom import Headroom
 from cyclamentrack.jobs.layout import with_room
-from cyclamentrack.jobs.model import TaskName
-from cyclamentrack.jobs.order import latest_start
-from cyclamentrack.resources import NOTHING
+from cyclamentrack.jobs.model import Step, TaskName
+from cyclamentrack.jobs.order import Ready
+from cyclamentrack.jobs.rooms import RoomIndex, total
+from cyclamentrack.resources import Resources
 
 # Of the workers one in so many has room kept at a time, beyond one plan's.
 _KEPT_SHARE = 3
@@ -52,10 +53,10 @@
     end before they could be used, and the service's time is scarce.
     """
 
-    def __init__(self, usable: list[Worker]) -> None:
+    def __init__(self, free: Resources) -> None:
         """Begin with the room that is free."""
-        self._cores = sum(worker.free.milli_cores for worker in usable)
-        self._devices = sum(worker.free.accelerators for worker in usable)
+        self._cores = free.milli_cores
+        self._devices = free.accelerators
 
     def admit(self, step: StepRun, count: int) -> bool:
         """Count a step's wish, unless nothing is left for it."""
@@ -89,17 +90,29 @@
         urgent_queues: bool,
     ) -> None:
         """Begin with all room open and nothing given."""
-        self.headroom = _headroom(usable, urgent_queues=urgent_queues)
+        whole = total(one.entry.capacity for one in usable)
+        used = total(one.used for one in usable)
+        self.rooms = RoomIndex(usable)
+        self.headroom = Headroom(
+            whole_milli=whole.milli_cores,
+            free_milli=self.rooms.free.milli_cores,
+            urgent_queues=urgent_queues,
+        )
         self.now = now
         self.usable = usable
         self.suspects = suspects
-        self.demand = Demand(usable)
+        self.demand = Demand(self.rooms.free)
         self.outcome = Round()
         self.given: set[TaskName] = set()
         self.prepared = 0
         self.contested: dict[WorkerId, float] = {}
         self.kept: dict[WorkerId, float] = {}
-        self._busy = _is_busy(usable)
+        self._busy = used.dominant_share(whole) >= _BUSY_SHARE
+        self._capacities = {
+            (one.milli_cores, one.memory_mib, one.accelerators): one
+            for one in (worker.entry.capacity for worker in usable)
+        }
+        self._eligible: tuple[StepRun, int, list[Worker]] | None = None
         self._book = book
         self._forecast: Forecast | None = None
 
@@ -107,9 +120,7 @@
     def forecast(self) -> Forecast:
         """When runs will end; worked out once a round, if it is needed."""
         if self._forecast is None:
-            self._forecast = Forecast(
-                book=self._book, workers=self.usable, now=self.now
-            )
+            self._forecast = Forecast(book=self._book, now=self.now)
         return self._forecast
 
     def contest(self, claims: Iterable[set[WorkerId]]) -> None:
@@ -144,17 +155,34 @@
         end = self.now + step.step.estimate_s * worker.slowness
         return not step.step.lasting and end <= until
 
-    def tasks_in_turn(self, entry: JobRun, step: StepRun) -> list[TaskRun]:
+    def needs_plan(self, step: Step) -> bool:
+        """Tell whether room must be kept for a step's tasks."""
+        return needs_plan(step, self._capacities.values())
+
+    def give(
+        self, step: StepRun, task: TaskRun, worker: Worker, permit: str
+    ) -> None:
+        """Give a task to a worker, and charge that for it."""
+        self.headroom.take(charge(step.step).milli_cores)
+        worker.take(task=task.name, run=task.run + 1, step=step.step)
+        self.rooms.shrink(worker)
+        self.given.add(task.name)
+        self.outcome.assignments.append(
+            Assignment(step=step, task=task, worker=worker, permit=permit),
+        )
+
+    def tasks_in_turn(self, ready: Ready) -> list[TaskRun]:
         """Return the tasks that may be placed beside urgent queues' room."""
-        tasks = step.idle
+        tasks = ready.waiting
+        step = ready.step
         if self.neglected(step):
             return tasks[:1]
-        if entry.queue.priority == 0 or step.step.lasting:
+        if ready.entry.queue.priority == 0 or step.step.lasting:
             return tasks
         count = self.headroom.allowed(
             wanted=len(tasks),
             need_milli=charge(step.step).milli_cores,
-            latest_start=latest_start(entry, step),
+            latest_start=ready.latest_start,
             now=self.now,
         )
         return tasks[:count]
@@ -165,16 +193,13 @@
         A job that has waited with nothing running may use room that is kept
         for too long, and workers on probation, unless the pool is busy.
         """
-        roomy = with_room(step, self.usable)
-        found = [worker for worker in roomy if self.open_to(step, worker)]
-        if found or not self.neglected(step):
-            return found
-        idle_since = self._book.jobs[step.name.job].idle_since
-        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
-        kept_long = [
-            worker for worker in roomy if self.kept[worker.entry.id] > bound
-        ]
-        return kept_long or with_room(step, self.suspects)
+        if self._eligible is not None:
+            known, version, workers = self._eligible
+            if known is step and version == self.rooms.version:
+                return workers
+        found = self._find_eligible(step)
+        self._eligible = (step, self.rooms.version, found)
+        return found
 
     def within_reach(self, step: StepRun) -> list[Worker]:
         """Return the workers that a step may wait for."""
@@ -190,20 +215,14 @@
             return False
         return not entry.placed
 
-
-def _headroom(usable: list[Worker], *, urgent_queues: bool) -> Headroom:
-    return Headroom(
-        whole_milli=sum(one.entry.capacity.milli_cores for one in usable),
-        free_milli=sum(one.free.milli_cores for one in usable),
-        urgent_queues=urgent_queues,
-    )
-
-
-def _is_busy(usable: list[Worker]) -> bool:
-    """Tell whether most processors or most accelerators are in use."""
-    whole = NOTHING
-    used = NOTHING
-    for one in usable:
-        whole = whole.plus(one.entry.capacity)
-        used = used.plus(one.used)
-    return used.dominant_share(whole) >= _BUSY_SHARE
+    def _find_eligible(self, step: StepRun) -> list[Worker]:
+        roomy = self.rooms.with_room(step.step)
+        found = [worker for worker in roomy if self.open_to(step, worker)]
+        if found or not self.neglected(step):
+            return found
+        idle_since = self._book.jobs[step.name.job].idle_since
+        bound = max(idle_since, step.opened_at) + _NOTHING_RUNS_S
+        kept_long = [
+            worker for worker in roomy if self.kept[worker.entry.id] > bound
+        ]
+        return kept_long or with_room(step.step, self.suspects)
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -10,7 +10,7 @@
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import GangPlan
 from cyclamentrack.jobs.layout import suits
-from cyclamentrack.jobs.order import prospect_of
+from cyclamentrack.jobs.order import Ready
 from cyclamentrack.jobs.permits import PermitBook
 from cyclamentrack.jobs.rounds import PermitWish, RoundState
 
@@ -31,8 +31,7 @@
 
     def plan(
         self,
-        entry: JobRun,
-        step: StepRun,
+        ready: Ready,
         state: RoundState,
         former: frozenset[WorkerId],
     ) -> GangPlan | None:
@@ -41,7 +40,9 @@
         Returns the plan if room is kept for it; ``former`` are the workers
         on which it was kept in the round before.
         """
-        left = [task for task in step.idle if task.name not in state.given]
+        entry = ready.entry
+        step = ready.step
+        left = [task for task in ready.waiting if task.name not in state.given]
         if not left:
             return None
         known = self._permits.of(step.name)
@@ -51,22 +52,24 @@
             if worker.entry.id not in known.bad
             and (not known.good or worker.entry.id in known.good)
             and worker.entry.id not in state.kept
-            and suits(step, worker)
+            and suits(step.step, worker)
         ]
         plan = state.forecast.plan(
             step.step, candidates, count=len(left), former=former
         )
         permitted = bool(known.good) or entry.queue.permits is None
-        useful = permitted and prospect_of(entry, step, state.now)
+        useful = permitted and ready.hopeful(state.now)
         if entry.queue.permits is not None:
             self._renew_for_plan(entry, step, plan, state)
         return plan if useful and state.keep(plan) else None
 
-    def wish(self, entry: JobRun, step: StepRun, state: RoundState) -> None:
+    def wish(self, ready: Ready, state: RoundState) -> None:
         """Ask for permits on workers that have room for what is left."""
+        entry = ready.entry
+        step = ready.step
         left = [
             task
-            for task in state.tasks_in_turn(entry, step)
+            for task in state.tasks_in_turn(ready)
             if task.name not in state.given
         ]
         if entry.queue.permits is None or not left:
@@ -137,7 +140,7 @@
             for worker in state.usable
             if worker.entry.id not in known.bad
             and worker.entry.id not in known.good
-            and suits(step, worker)
+            and suits(step.step, worker)
             and need.fits(worker.entry.capacity)
         ]
 
@@ -147,6 +150,8 @@
         Otherwise each room that becomes free waits for a decision first.
         """
         known = self._permits.of(step.name)
+        if not known.good or state.prepared >= _PREPARED:
+            return
         stale = [
             worker
             for worker in state.usable
@@ -155,7 +160,7 @@
                 worker.entry.id, now=state.now, life=worker.life
             )
         ]
-        if stale and state.prepared < _PREPARED:
+        if stale:
             state.prepared += 1
             state.outcome.wishes.append(
                 PermitWish(entry=entry, step=step, workers=stale, ahead=True)
