Look no further for steps that a round can't place or ask for

After a takeover no step has permits, and the pool is free. Each round then looked at every worker for each of the waiting steps: 80 to 116 ms of a core at 126 workers and 400 jobs, where no step could be placed.

A step without permits that needs them isn't laid out, one that has a call under way isn't looked at, and no more steps wish than lanes could take. Once no more room can be kept, plans look only at workers with room now, and at most 16 steps a round have a full plan.

Other placements than before are possible only where a plan could not keep room any more.

--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -342,7 +342,8 @@
 def placements(book: JobBook) -> Iterator[Placement]:
     """Return every run that some worker has."""
     for entry in book.jobs.values():
-        yield from entry.placed
+        if entry.begun:
+            yield from entry.placed
 
 
 def _task_row(task: TaskRun) -> TaskRow:
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -101,6 +101,9 @@
 
     def _place_step(self, one: Ready, state: RoundState) -> None:
         step = one.step
+        policy = one.entry.queue.permits
+        if policy is not None and not self._permits.of(step.name).good:
+            return
         eligible = state.eligible(step)
         if not eligible:
             return
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -69,7 +69,7 @@
         times = sorted(
             (at - _LOYALTY_S * (worker.entry.id in former), at, worker.entry.id)
             for worker in workers
-            for at in self._slots(step, worker)
+            for at in self._slots(step, worker, count)
         )
         chosen = sorted((at, name) for _, at, name in times[:count])
         if step.gang and len(chosen) < count:
@@ -80,15 +80,15 @@
             starts.setdefault(worker, first)
         return GangPlan(starts=starts)
 
-    def _slots(self, step: Step, worker: Worker) -> list[float]:
-        """Return when the worker has room for one member, for two, ..."""
+    def _slots(self, step: Step, worker: Worker, count: int) -> list[float]:
+        """Return when the worker has room for one task, for two, ..."""
         need = charge(step)
+        limit = min(step.max_per_worker or count, count)
         free = worker.free
-        limit = step.max_per_worker or step.count
-        found: list[float] = []
         at = self._now
+        found: list[float] = []
         releases = iter(self._releases_of(worker))
-        while len(found) < min(step.count, limit):
+        while len(found) < limit:
             if need.fits(free):
                 found.append(at)
                 free = free.minus(need)
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -53,6 +53,10 @@
     asking: bool = False
     not_before: float = 0.0
 
+    def may_ask(self, now: float) -> bool:
+        """Tell whether a call for the step would be made now."""
+        return not self.asking and now >= self.not_before
+
     def fresh(self, worker: WorkerId, *, now: float, life: int) -> str:
         """Return a permit that is still good for a start, or nothing."""
         granted = self.good.get(worker)
@@ -148,7 +152,7 @@
         now = trio.current_time()
         for wish in sorted(self._wishes, key=lambda one: one.ahead):
             known = self.of(wish.step)
-            if known.asking or now < known.not_before:
+            if not known.may_ask(now):
                 continue
             lane = self._free_lane(lanes, wish)
             if lane is None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -17,6 +17,10 @@
 
 # Of the workers one in so many has room kept at a time, beyond one plan's.
 _KEPT_SHARE = 3
+# Steps for which a round looks at the ends that all workers expect.
+_PLANS = 16
+# Steps that a round wishes permits for; each lane takes one.
+_WISHES = 40
 # Room is kept for starts that are expected within this time, seconds.
 _HORIZON_S = 6.0
 # A job that has nothing running beside free room for 3 s counts as lost, and
@@ -105,8 +109,10 @@
         self.outcome = Round()
         self.given: set[TaskName] = set()
         self.prepared = 0
+        self.planned = 0
         self.contested: dict[WorkerId, float] = {}
         self.kept: dict[WorkerId, float] = {}
+        self._most_kept = max(len(usable) // _KEPT_SHARE, 1)
         self._busy = used.dominant_share(whole) >= _BUSY_SHARE
         self._capacities = {
             (one.milli_cores, one.memory_mib, one.accelerators): one
@@ -116,6 +122,11 @@
         self._book = book
         self._forecast: Forecast | None = None
 
+    @property
+    def may_wish(self) -> bool:
+        """Whether a call for one more step could get a lane this round."""
+        return len(self.outcome.wishes) < _WISHES
+
     @property
     def forecast(self) -> Forecast:
         """When runs will end; worked out once a round, if it is needed."""
@@ -135,9 +146,8 @@
 
     def keep(self, plan: GangPlan) -> bool:
         """Keep room for a plan, unless too much is kept already."""
-        most = max(len(self.usable) // _KEPT_SHARE, 1)
         wanted = len(self.kept) + len(plan.starts)
-        if not plan.starts or (self.kept and wanted > most):
+        if not plan.starts or (self.kept and wanted > self._most_kept):
             return False
         if max(plan.starts.values()) > self.now + _HORIZON_S:
             return False
@@ -201,11 +211,18 @@
         self._eligible = (step, self.rooms.version, found)
         return found
 
-    def within_reach(self, step: StepRun) -> list[Worker]:
-        """Return the workers that a step may wait for."""
+    def plannable(self, step: StepRun, *, keeps: bool) -> list[Worker]:
+        """Return the workers that a step may wait for.
+
+        A plan for which no room can be kept looks only at workers that have
+        room now, and so do all beyond a round's share of plans.
+        """
         if self.neglected(step):
             return [*self.usable, *self.suspects]
-        return self.usable
+        if keeps and self.planned < _PLANS and len(self.kept) < self._most_kept:
+            self.planned += 1
+            return self.usable
+        return self.rooms.with_room(step.step)
 
     def neglected(self, step: StepRun) -> bool:
         """Tell whether a job has nothing running though the pool has room."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -40,15 +40,17 @@
         Returns the plan if room is kept for it; ``former`` are the workers
         on which it was kept in the round before.
         """
-        entry = ready.entry
         step = ready.step
         left = [task for task in ready.waiting if task.name not in state.given]
-        if not left:
-            return None
         known = self._permits.of(step.name)
+        permitted = bool(known.good) or ready.entry.queue.permits is None
+        asks = known.may_ask(state.now) and state.may_wish
+        if not left or not (permitted or asks):
+            return None
+        useful = permitted and ready.hopeful(state.now)
         candidates = [
             worker
-            for worker in state.within_reach(step)
+            for worker in state.plannable(step, keeps=useful or not permitted)
             if worker.entry.id not in known.bad
             and (not known.good or worker.entry.id in known.good)
             and worker.entry.id not in state.kept
@@ -57,10 +59,8 @@
         plan = state.forecast.plan(
             step.step, candidates, count=len(left), former=former
         )
-        permitted = bool(known.good) or entry.queue.permits is None
-        useful = permitted and ready.hopeful(state.now)
-        if entry.queue.permits is not None:
-            self._renew_for_plan(entry, step, plan, state)
+        if asks:
+            self._renew_for_plan(ready, plan, candidates, state)
         return plan if useful and state.keep(plan) else None
 
     def wish(self, ready: Ready, state: RoundState) -> None:
@@ -74,13 +74,15 @@
         ]
         if entry.queue.permits is None or not left:
             return
-        bad = self._permits.of(step.name).bad
+        room_left = state.neglected(step) or state.demand.admit(step, len(left))
+        known = self._permits.of(step.name)
+        if not known.may_ask(state.now) or not state.may_wish:
+            return
         wanted = [
             worker
             for worker in state.eligible(step)
-            if worker.entry.id not in bad
+            if worker.entry.id not in known.bad
         ]
-        room_left = state.neglected(step) or state.demand.admit(step, len(left))
         if not wanted:
             self._prepare(entry, step, state)
         elif room_left:
@@ -99,29 +101,33 @@
 
     def _renew_for_plan(
         self,
-        entry: JobRun,
-        step: StepRun,
+        ready: Ready,
         plan: GangPlan,
+        candidates: list[Worker],
         state: RoundState,
     ) -> None:
         """Ask for permits that will hold when the plan's moments come."""
-        policy = entry.queue.permits
+        step = ready.step
+        policy = ready.entry.queue.permits
+        if policy is None:
+            return
         known = self._permits.of(step.name)
-        decide_s = policy.decide_s if policy else 0
-        soon = state.now + decide_s + _PERMIT_LEAD_S
+        soon = state.now + policy.decide_s + _PERMIT_LEAD_S
         due = [
             worker
-            for worker in state.within_reach(step)
+            for worker in candidates
             if plan.starts.get(worker.entry.id, _NEVER) <= soon
             and not known.fresh(
                 worker.entry.id, now=state.now, life=worker.life
             )
         ]
+        if known.good and not due:
+            return
         unknown = self._unknown(step, state)
-        if due or (unknown and not known.good):
+        if due or unknown:
             state.outcome.wishes.append(
                 PermitWish(
-                    entry=entry,
+                    entry=ready.entry,
                     step=step,
                     workers=_distinct([*due, *unknown]),
                 ),
