Count a pool's room by the capacities of its workers

Workers have a handful of capacities.

Plans work out slots in plain numbers, without an object for each release.

--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -177,6 +177,7 @@
         self.workers: dict[WorkerId, Worker] = {}
         self._unanswered_at = -_TROUBLE_S
         self._shapes: dict[Shape, None] = {}
+        self._capacities: dict[Resources, int] | None = None
 
     @property
     def shapes(self) -> tuple[Shape, ...]:
@@ -193,15 +194,17 @@
 
     def room(self, step: Step) -> int:
         """Return how many tasks of a step the listed workers hold."""
+        if self._capacities is None:
+            self._capacities = _counted(self.workers.values())
         need = charge(step)
         return sum(
-            need.times_in(worker.entry.capacity)
-            for worker in self.workers.values()
-            if worker.listed
+            count * need.times_in(capacity)
+            for capacity, count in self._capacities.items()
         )
 
     def see(self, entry: WorkerEntry) -> Worker:
         """Take in a worker's entry; a known one keeps its runs."""
+        self._capacities = None
         worker = self.workers.get(entry.id)
         if worker is None or worker.retired:
             worker = Worker(entry=entry)
@@ -216,6 +219,17 @@
         """Note that a worker's entry is gone; its runs may go on."""
         if worker in self.workers:
             self.workers[worker].listed = False
+            self._capacities = None
+
+
+def _counted(workers: Iterable[Worker]) -> dict[Resources, int]:
+    """Count the listed workers of each capacity."""
+    found: dict[Resources, int] = {}
+    for worker in workers:
+        if worker.listed:
+            capacity = worker.entry.capacity
+            found[capacity] = found.get(capacity, 0) + 1
+    return found
 
 
 def _shape(entry: WorkerEntry) -> Shape:
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -84,20 +84,27 @@
         """Return when the worker has room for one task, for two, ..."""
         need = charge(step)
         limit = min(step.max_per_worker or count, count)
-        free = worker.free
+        room = worker.free
+        cores = room.milli_cores - need.milli_cores
+        memory = room.memory_mib - need.memory_mib
+        devices = room.accelerators - need.accelerators
         at = self._now
         found: list[float] = []
         releases = iter(self._releases_of(worker))
         while len(found) < limit:
-            if need.fits(free):
+            if cores >= 0 and memory >= 0 and devices >= 0:
                 found.append(at)
-                free = free.minus(need)
+                cores -= need.milli_cores
+                memory -= need.memory_mib
+                devices -= need.accelerators
                 continue
             release = next(releases, None)
             if release is None or release.at >= _NEVER:
                 break
             at = max(at, release.at)
-            free = free.plus(release.need)
+            cores += release.need.milli_cores
+            memory += release.need.memory_mib
+            devices += release.need.accelerators
         return found
 
     def _releases_of(self, worker: Worker) -> list[_Release]:
