--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -7,16 +7,21 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import JobBook, JobRun, StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Worker, charge
-from cyclamentrack.jobs.gangs import Forecast, GangPlan
+from cyclamentrack.jobs.gangs import Forecast, GangPlan, needs_plan
 from cyclamentrack.jobs.headroom import Headroom
-from cyclamentrack.jobs.layout import holds_start, with_room
-from cyclamentrack.jobs.model import TaskName
-from cyclamentrack.jobs.order import latest_start
+from cyclamentrack.jobs.layout import at_limit, holds_start, with_room
+from cyclamentrack.jobs.model import Step, TaskName
+from cyclamentrack.jobs.order import Ready
 from cyclamentrack.jobs.permits import StepPermits
-from cyclamentrack.resources import NOTHING
+from cyclamentrack.jobs.rooms import RoomIndex, total
+from cyclamentrack.resources import Resources
 
 # Of the workers one in so many has room kept at a time, beyond one plan's.
 _KEPT_SHARE = 3
+# Steps for which a round looks at the ends that all workers expect.
+_PLANS = 16
+# Steps that a round wishes permits for; each lane takes one.
+_WISHES = 40
 # Room is kept for starts that are expected within this time, seconds.
 _HORIZON_S = 6.0
 # A job that has nothing running beside free room for 3 s counts as lost, and
@@ -53,10 +58,10 @@
     end before they could be used, and the service's time is scarce.
     """
 
-    def __init__(self, usable: list[Worker]) -> None:
+    def __init__(self, free: Resources) -> None:
         """Begin with the room that is free."""
-        self._cores = sum(worker.free.milli_cores for worker in usable)
-        self._devices = sum(worker.free.accelerators for worker in usable)
+        self._cores = free.milli_cores
+        self._devices = free.accelerators
 
     def admit(self, step: StepRun, count: int) -> bool:
         """Count a step's wish, unless nothing is left for it."""
@@ -90,27 +95,43 @@
         urgent_queues: bool,
     ) -> None:
         """Begin with all room open and nothing given."""
-        self.headroom = _headroom(usable, urgent_queues=urgent_queues)
+        whole = total(one.entry.capacity for one in usable)
+        self.rooms = RoomIndex(usable)
+        self.headroom = Headroom(
+            whole_milli=whole.milli_cores,
+            free_milli=self.rooms.free.milli_cores,
+            urgent_queues=urgent_queues,
+        )
         self.now = now
         self.usable = usable
         self.suspects = suspects
-        self.demand = Demand(usable)
+        self.demand = Demand(self.rooms.free)
         self.outcome = Round()
         self.given: set[TaskName] = set()
         self.prepared = 0
+        self.planned = 0
         self.contested: dict[WorkerId, float] = {}
         self.kept: dict[WorkerId, float] = {}
+        self._most_kept = max(len(usable) // _KEPT_SHARE, 1)
         self._busy = _is_busy([*usable, *suspects])
+        self._capacities = {
+            (one.milli_cores, one.memory_mib, one.accelerators): one
+            for one in (worker.entry.capacity for worker in usable)
+        }
+        self._eligible: tuple[StepRun, int, list[Worker]] | None = None
         self._book = book
         self._forecast: Forecast | None = None
 
+    @property
+    def may_wish(self) -> bool:
+        """Whether a call for one more step could get a lane this round."""
+        return len(self.outcome.wishes) < _WISHES
+
     @property
     def forecast(self) -> Forecast:
         """When runs will end; worked out once a round, if it is needed."""
         if self._forecast is None:
-            self._forecast = Forecast(
-                book=self._book, workers=self.usable, now=self.now
-            )
+            self._forecast = Forecast(book=self._book, now=self.now)
         return self._forecast
 
     def contest(self, claims: Iterable[set[WorkerId]]) -> None:
@@ -125,9 +146,8 @@
 
     def keep(self, plan: GangPlan) -> bool:
         """Keep room for a plan, unless too much is kept already."""
-        most = max(len(self.usable) // _KEPT_SHARE, 1)
         wanted = len(self.kept) + len(plan.starts)
-        if not plan.starts or (self.kept and wanted > most):
+        if not plan.starts or (self.kept and wanted > self._most_kept):
             return False
         if max(plan.starts.values()) > self.now + _HORIZON_S:
             return False
@@ -145,19 +165,36 @@
         end = self.now + step.step.estimate_s * worker.slowness
         return not step.step.lasting and end <= until
 
-    def tasks_in_turn(self, entry: JobRun, step: StepRun) -> list[TaskRun]:
+    def needs_plan(self, step: Step) -> bool:
+        """Tell whether room must be kept for a step's tasks."""
+        return needs_plan(step, self._capacities.values())
+
+    def give(
+        self, step: StepRun, task: TaskRun, worker: Worker, permit: str
+    ) -> None:
+        """Give a task to a worker, and charge that for it."""
+        self.headroom.take(charge(step.step).milli_cores)
+        worker.take(task=task.name, run=task.run + 1, step=step.step)
+        self.rooms.shrink(worker)
+        self.given.add(task.name)
+        self.outcome.assignments.append(
+            Assignment(step=step, task=task, worker=worker, permit=permit),
+        )
+
+    def tasks_in_turn(self, ready: Ready) -> list[TaskRun]:
         """Return the tasks that may be placed beside urgent queues' room."""
-        tasks = step.idle
+        tasks = ready.waiting
+        step = ready.step
         if step.step.lasting:
             return tasks
         if self.neglected(step):
             return tasks[:1]
-        if entry.queue.priority == 0:
+        if ready.entry.queue.priority == 0:
             return tasks
         count = self.headroom.allowed(
             wanted=len(tasks),
             need_milli=charge(step.step).milli_cores,
-            latest_start=latest_start(entry, step),
+            latest_start=ready.latest_start,
             now=self.now,
         )
         return tasks[:count]
@@ -169,22 +206,33 @@
         with nothing running may use room that is kept for too long, and
         workers on probation, unless the pool is busy.
         """
-        roomy = self._not_refused(with_room(step, self.usable), known)
-        found = [worker for worker in roomy if self.open_to(step, worker)]
-        if not self.neglected(step) or holds_start(step, found):
-            return found
-        found.extend(self._kept_long(step, roomy))
-        if not holds_start(step, found):
-            suspects = with_room(step, self.suspects)
-            found.extend(self._not_refused(suspects, known))
+        if self._eligible is not None:
+            last, version, workers = self._eligible
+            if last is step and version == self.rooms.version:
+                return workers
+        found = self._find_eligible(step, known)
+        self._eligible = (step, self.rooms.version, found)
         return found
 
     def within_reach(self, step: StepRun) -> list[Worker]:
-        """Return the workers that a step may wait for."""
+        """Return the workers that a step may be given in time."""
         if self.neglected(step):
             return [*self.usable, *self.suspects]
         return self.usable
 
+    def plannable(self, step: StepRun, *, keeps: bool) -> list[Worker]:
+        """Return the workers that a step may wait for.
+
+        A plan for which no room can be kept looks only at workers that have
+        room now, and so do all beyond a round's share of plans.
+        """
+        if self.neglected(step):
+            return self.within_reach(step)
+        if keeps and self.planned < _PLANS and len(self.kept) < self._most_kept:
+            self.planned += 1
+            return self.usable
+        return self.rooms.with_room(step.step)
+
     def neglected(self, step: StepRun) -> bool:
         """Tell whether a job has nothing running though the pool has room.
 
@@ -201,6 +249,17 @@
             return False
         return not entry.placed
 
+    def _find_eligible(self, step: StepRun, known: StepPermits) -> list[Worker]:
+        roomy = self._allowed(step, self.rooms.with_room(step.step), known)
+        found = [worker for worker in roomy if self.open_to(step, worker)]
+        if not self.neglected(step) or holds_start(step, found):
+            return found
+        found.extend(self._kept_long(step, roomy))
+        if not holds_start(step, found):
+            suspects = with_room(step.step, self.suspects)
+            found.extend(self._allowed(step, suspects, known))
+        return found
+
     def _kept_long(self, step: StepRun, roomy: list[Worker]) -> list[Worker]:
         """Return workers whose room is kept from a step for too long."""
         idle_since = self._book.jobs[step.name.job].idle_since
@@ -212,29 +271,23 @@
             and self.kept[worker.entry.id] > bound
         ]
 
-    def _not_refused(
-        self, workers: list[Worker], known: StepPermits
+    def _allowed(
+        self, step: StepRun, workers: list[Worker], known: StepPermits
     ) -> list[Worker]:
+        """Leave out workers that refused a step or hold enough of it."""
+        full = at_limit(step)
         return [
             worker
             for worker in workers
-            if not known.barred(worker.entry.id, now=self.now, life=worker.life)
+            if worker.entry.id not in full
+            and not known.barred(
+                worker.entry.id, now=self.now, life=worker.life
+            )
         ]
 
 
-def _headroom(usable: list[Worker], *, urgent_queues: bool) -> Headroom:
-    return Headroom(
-        whole_milli=sum(one.entry.capacity.milli_cores for one in usable),
-        free_milli=sum(one.free.milli_cores for one in usable),
-        urgent_queues=urgent_queues,
-    )
-
-
 def _is_busy(workers: list[Worker]) -> bool:
     """Tell whether most processors or most accelerators are in use."""
-    whole = NOTHING
-    used = NOTHING
-    for one in workers:
-        whole = whole.plus(one.entry.capacity)
-        used = used.plus(one.used)
+    whole = total(one.entry.capacity for one in workers)
+    used = total(one.used for one in workers)
     return used.dominant_share(whole) >= _BUSY_SHARE
