Bound the starts under way by the lag of an owner's loop

A round could give away a whole pool at once. A profile of an owner at the peak (trial) showed its time spent on connections and cancelled calls; rounds were 0.1 s of 2.3 s.

A round gives away only as many tasks as may be under way: 64, halved with each probe that finds the loop over 30 ms late, 8 at least, and grown by 2 with each that doesn't. A start that has gone unanswered for 0.3 s leaves its place, so that silent workers hold up nobody. A gang is never split.

The scenario of a burst fails without the limit (400 under way), that of silent workers without the age (20 tasks begun).

--- a/features/decisions/rounds.feature
+++ b/features/decisions/rounds.feature
@@ -22,6 +22,28 @@
     When jobs of 20 tasks come for 2 seconds
     Then rounds took a quarter of that time at most
 
+  Scenario: A burst of tasks is not started faster than workers can answer
+    Given a job cell of 1 nodes and 20 workers
+    When a job of 400 small tasks is submitted and watched to its end
+    Then at most 64 starts were under way at a time
+
+  Scenario: Silent workers hold up no starts elsewhere
+    Given a job cell of 1 nodes and 20 workers
+    When the first 15 workers fall silent
+    And jobs of 200 tasks come for 2 seconds
+    Then 60 tasks have begun
+
+  Scenario: An owner that lags starts less at a time, until it doesn't
+    Given a job cell of 1 nodes and 20 workers
+    And each round takes 0.1 seconds
+    And 2 seconds go by
+    When a job of 200 small tasks is submitted and watched to its end
+    Then at most 8 starts were under way at a time
+    When rounds take no time for 3 seconds
+    And a job of 400 small tasks is submitted and watched to its end
+    Then at most 64 starts were under way at a time
+    And at least 32 starts were under way at a time
+
   Scenario: An owner whose loop lags says so in its log and its metrics
     Given a job cell of 1 nodes and 4 workers
     And a callers' front on its first node
--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -139,7 +139,7 @@
 
     def decide(self) -> int:
         """Decide one round, and return how many tasks it placed."""
-        outcome = self.dispatcher.decide(self.now)
+        outcome = self.dispatcher.decide(self.now, most_starts=1000)
         for given in outcome.assignments:
             self._place(given.task, given.worker.entry.id, given.permit)
         for wish in outcome.wishes[:_CALLS]:
--- a/features/steps/round_steps.py
+++ b/features/steps/round_steps.py
@@ -6,7 +6,9 @@
 
 from behave import given, step, then, when
 
+from cyclamentrack.jobs.book import Phase, placements
 from cyclamentrack.jobs.layout import with_room
+from cyclamentrack.jobs.model import JobState
 from cyclamentrack.jobs.rooms import RoomIndex
 from features.harness.asgi import call_app
 from features.harness.fullpool import FullPool
@@ -148,6 +150,46 @@
     assert taken_s <= (context.spent_s + taken_s) / 4, context.rounds
 
 
+@when('a job of {count:d} small tasks is submitted and watched to its end')
+def watch_starts(context, count):
+    world = context.jobs
+    job, _ = world.submit(make_step(count, cores=0.1), work_s=0.3)
+    book = world.cells[world.owner()].owners[POOL].book
+    context.under_way = []
+    while world.state(job) is not JobState.COMPLETED:
+        phases = [one.phase for one in placements(book)]
+        context.under_way.append(phases.count(Phase.STARTING))
+        world.loop.sleep(0.001)
+
+
+@then('at most {most:d} starts were under way at a time')
+def check_starts(context, most):
+    assert 0 < max(context.under_way) <= most, max(context.under_way)
+
+
+@then('at least {least:d} starts were under way at a time')
+def check_more_starts(context, least):
+    assert max(context.under_way) >= least, max(context.under_way)
+
+
+@when('rounds take no time for {seconds:g} seconds')
+def quicken_rounds(context, seconds):
+    context.jobs.clock_reading_s = 0.0
+    context.jobs.loop.sleep(seconds)
+
+
+@when('the first {count:d} workers fall silent')
+def silence_first(context, count):
+    for worker in list(context.jobs.workers.workers.values())[:count]:
+        worker.silent = True
+
+
+@then('{least:d} tasks have begun')
+def check_begun(context, least):
+    starts = context.jobs.workers.starts
+    assert len(starts) >= least, len(starts)
+
+
 class _Lines(logging.Handler):
     """Keeps the messages of all records."""
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -39,8 +39,11 @@
         self._permits = permits
         self._wishes = Wishes(permits=permits)
 
-    def decide(self, now: float) -> Round:
-        """Give ready tasks to workers, and charge these for them."""
+    def decide(self, now: float, *, most_starts: int) -> Round:
+        """Give ready tasks to workers, and charge these for them.
+
+        No more than ``most_starts`` tasks, or one gang beyond them, are given.
+        """
         present = [
             worker
             for worker in self._fleet.workers.values()
@@ -53,6 +56,7 @@
             usable=usable,
             suspects=[one for one in present if now < one.suspect_until],
             urgent_queues=self._urgent_queues(),
+            most_starts=most_starts,
         )
         queued = self._in_order(now)
         state.contest(self._claims(queued, state))
@@ -104,6 +108,8 @@
         policy = one.entry.queue.permits
         if policy is not None and not self._permits.of(step.name).good:
             return
+        if state.starts_left <= 0:
+            return
         eligible = state.eligible(step)
         if not eligible:
             return
@@ -114,7 +120,7 @@
         if step.step.gang:
             chosen = lay_out_gang(step, allowed, state.contested)
         else:
-            tasks = state.tasks_in_turn(one)
+            tasks = state.tasks_in_turn(one)[: state.starts_left]
             chosen = lay_out_each(step, tasks, allowed, state.contested)
         for task, worker in chosen:
             state.give(step, task, worker, permit_of(worker) or '')
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -64,6 +64,8 @@
 _IDLE_ROUND_S = 0.2
 # So many runs that fail in a row, none done between, make a worker suspect.
 _SUSPECT_FAILURES = 2
+# A worker that takes longer to answer is silent, not busy.
+_START_S = 0.3
 # A commit that waits for so long stops further decisions: their starts could
 # only pile up behind it.
 _ROUND_STALL_S = 0.5
@@ -104,6 +106,7 @@
         self._store = parts.store
         self._wake = trio.Event()
         self._paused = False
+        self._starting: list[Placement] = []
         self._nursery: trio.Nursery | None = None
         self._permits: PermitBook | None = None
 
@@ -362,7 +365,9 @@
                 continue
             with self.strain.measured_round():
                 self._open_timed()
-                outcome = dispatcher.decide(trio.current_time())
+                outcome = dispatcher.decide(
+                    trio.current_time(), most_starts=self._most_starts()
+                )
                 self._act(outcome, permits, launcher)
 
     def _act(
@@ -389,8 +394,22 @@
         }.values():
             self.keep_step(step)
         if placed:
+            self._starting.extend(placed)
             self.nursery.start_soon(launcher.launch, placed)
 
+    def _most_starts(self) -> int:
+        """Return how many more starts may be under way.
+
+        A start that has long gone unanswered leaves its place to others.
+        """
+        since = trio.current_time() - _START_S
+        self._starting = [
+            one
+            for one in self._starting
+            if one.phase is Phase.STARTING and one.since > since
+        ]
+        return self.strain.most_starts - len(self._starting)
+
     def _has_urgent_queues(self) -> bool:
         configuration = self._parts.configuration()
         return configuration is not None and any(
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -92,8 +92,10 @@
         usable: list[Worker],
         suspects: list[Worker],
         urgent_queues: bool,
+        most_starts: int,
     ) -> None:
         """Begin with all room open and nothing given."""
+        self.starts_left = most_starts
         whole = total(one.entry.capacity for one in usable)
         used = total(one.used for one in usable)
         self.rooms = RoomIndex(usable)
@@ -173,6 +175,7 @@
         self, step: StepRun, task: TaskRun, worker: Worker, permit: str
     ) -> None:
         """Give a task to a worker, and charge that for it."""
+        self.starts_left -= 1
         self.headroom.take(charge(step.step).milli_cores)
         worker.take(task=task.name, run=task.run + 1, step=step.step)
         self.rooms.shrink(worker)
--- a/packages/cyclamentrack/cyclamentrack/jobs/strain.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/strain.py
@@ -23,6 +23,13 @@
 _LONGEST_PAUSE_S = 0.4
 # The lag of the loop is measured so often.
 _PROBE_S = 0.05
+# Starts that may be under way at a time. Each is answered within a quarter of
+# a second, which covers several passes of the loop.
+_MOST_STARTS = 64
+_FEWEST_STARTS = 8
+_MORE_STARTS = 2
+# A loop that is later than this has too much under way.
+_BUSY_LAG_S = 0.03
 # An owner that lags by so much answers later than its peers expect.
 _LAGS_S = 0.1
 _LOG_GAP_S = 1.0
@@ -37,6 +44,7 @@
         self.rounds = 0
         self.round_s = 0.0
         self.lag_s = 0.0
+        self.most_starts = _MOST_STARTS
         self._pool = pool
         self._clock = clock
         self._logged_at = -_LOG_GAP_S
@@ -63,9 +71,18 @@
             due = self._clock() + _PROBE_S
             await trio.sleep(_PROBE_S)
             self.lag_s = max(self._clock() - due, 0.0)
+            self._adapt_starts()
             if self.lag_s >= _LAGS_S:
                 self._log_lag(waiting())
 
+    def _adapt_starts(self) -> None:
+        """Halve the starts that may be under way while the loop is late."""
+        if self.lag_s > _BUSY_LAG_S:
+            self.most_starts = max(self.most_starts // 2, _FEWEST_STARTS)
+        else:
+            grown = self.most_starts + _MORE_STARTS
+            self.most_starts = min(grown, _MOST_STARTS)
+
     def _log_lag(self, waiting: int) -> None:
         now = trio.current_time()
         if now - self._logged_at < _LOG_GAP_S:
