Play the looks of a large pool with runs that don't end meanwhile

The bound of 130 looks a second is on looks that wait for ends; each end adds one of its own. Starts are now sent 64 at a time, so that the ends of tasks of 1 s fell into the second that is counted (151 looks). The tasks last 5 s now; bound and window are as before, and without the limit the scenario fails still.

--- a/features/jobs/looks.feature
+++ b/features/jobs/looks.feature
@@ -5,7 +5,7 @@
 
   Scenario: An unanswered start doesn't multiply the looks at all workers
     Given the first worker leaves its starts unanswered
-    When a job of the steps "126" is submitted
+    When a job of the steps "126" of 5 seconds is submitted
     And 2 seconds go by
     Then the looks of the last second were 130 at most
 
