--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -84,6 +84,7 @@
     failures: int = 0
     checkpoint: str = ''
     placement: Placement | None = None
+    idle_since: float = 0.0
     failed_on: set[WorkerId] = msgspec.field(default_factory=set)
 
     @property
@@ -342,7 +343,8 @@
 def placements(book: JobBook) -> Iterator[Placement]:
     """Return every run that some worker has."""
     for entry in book.jobs.values():
-        yield from entry.placed
+        if entry.begun:
+            yield from entry.placed
 
 
 def _task_row(task: TaskRun) -> TaskRow:
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -2,6 +2,7 @@
 
 import logging
 import secrets
+import time
 from collections.abc import Callable, Sequence
 
 import msgspec
@@ -96,6 +97,7 @@
     peers: Peers
     wall_clock: Callable[[], float]
     patience: Patience = msgspec.field(default_factory=Patience)
+    steady_clock: Callable[[], float] = time.perf_counter
 
 
 class JobCell:
@@ -442,6 +444,7 @@
                 configuration=lambda: self.configuration,
                 lanes=self.lanes,
                 wall_clock=parts.wall_clock,
+                steady_clock=parts.steady_clock,
             ),
         )
         keeper = LeaseKeeper(store=parts.store, claim=claim, lease=lease)
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -5,6 +5,7 @@
 depend on; single accelerators are taken where others are in use already.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -12,23 +13,23 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.book import StepRun, TaskRun
 from cyclamentrack.jobs.fleet import Worker, charge
+from cyclamentrack.jobs.model import Step
 from cyclamentrack.resources import NOTHING
 
 
-def suits(step: StepRun, worker: Worker) -> bool:
+def suits(step: Step, worker: Worker) -> bool:
     """Tell whether a worker's labels and runs allow tasks of a step."""
-    spec = step.step
-    if spec.requires and spec.requires not in worker.entry.labels:
+    if step.requires and step.requires not in worker.entry.labels:
         return False
     holdings = worker.holdings.values()
-    if spec.fills:
+    if step.fills:
         return not any(holding.serving for holding in holdings)
     return True
 
 
-def with_room(step: StepRun, workers: list[Worker]) -> list[Worker]:
+def with_room(step: Step, workers: list[Worker]) -> list[Worker]:
     """Return the workers that have room for a task of a step."""
-    need = charge(step.step)
+    need = charge(step)
     return [
         worker
         for worker in workers
@@ -36,6 +37,26 @@
     ]
 
 
+def at_limit(step: StepRun) -> set[WorkerId]:
+    """Return the workers that have as many tasks of a step as they may."""
+    limit = step.step.max_per_worker
+    if not limit:
+        return set()
+    counts = Counter(placement.worker for placement in step.placed)
+    return {worker for worker, count in counts.items() if count >= limit}
+
+
+def holds_start(step: StepRun, workers: list[Worker]) -> bool:
+    """Tell whether workers have room for one task, or for a whole gang."""
+    spec = step.step
+    if not spec.gang:
+        return bool(workers)
+    limit = spec.max_per_worker or spec.count
+    need = charge(spec)
+    room = sum(min(need.times_in(one.free), limit) for one in workers)
+    return room >= spec.count
+
+
 def lay_out_each(
     step: StepRun,
     tasks: list[TaskRun],
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -23,7 +23,7 @@
     StepRun,
     TaskRun,
 )
-from cyclamentrack.jobs.dispatch import Assignment, Dispatcher, Round
+from cyclamentrack.jobs.dispatch import Dispatcher
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
 from cyclamentrack.jobs.journal import Journal
@@ -54,16 +54,18 @@
     step_key,
 )
 from cyclamentrack.jobs.roster import WorkerRoster
+from cyclamentrack.jobs.rounds import Assignment, Round
 from cyclamentrack.jobs.sickness import EstimateTrust, in_step, suspect
+from cyclamentrack.jobs.strain import Strain
 
 _log = logging.getLogger(__name__)
 
 # Rounds that nothing woke: due times, permits and probations that end.
 _IDLE_ROUND_S = 0.2
-# Wakes within this time share a round.
-_ROUND_GAP_S = 0.002
 # So many runs that fail in a row, none done between, make a worker suspect.
 _SUSPECT_FAILURES = 2
+# A worker that takes longer to answer is silent, not busy.
+_START_S = 0.3
 # A commit that waits for so long stops further decisions: their starts could
 # only pile up behind it.
 _ROUND_STALL_S = 0.5
@@ -80,6 +82,7 @@
     configuration: Callable[[], Configuration | None]
     lanes: Callable[[PoolName], dict[str, LaneCall]]
     wall_clock: Callable[[], float]
+    steady_clock: Callable[[], float]
 
 
 class SliceOwner:
@@ -94,6 +97,7 @@
         self.fleet = Fleet()
         self.trust = EstimateTrust()
         self.journal = journal
+        self.strain = Strain(pool=claim.pool, clock=parts.steady_clock)
         self.tuning = parts.tuning
         self.orders = parts.orders
         self.recovered = trio.Event()
@@ -102,6 +106,7 @@
         self._store = parts.store
         self._wake = trio.Event()
         self._paused = False
+        self._starting: list[Placement] = []
         self._nursery: trio.Nursery | None = None
         self._permits: PermitBook | None = None
 
@@ -132,6 +137,7 @@
             nursery.start_soon(roster.settle_unlisted)
             nursery.start_soon(intake.sweep)
             self.recovered.set()
+            nursery.start_soon(self.strain.watch, self._count_waiting)
             await self._dispatch_rounds(permits, launcher)
 
     def wake(self) -> None:
@@ -203,6 +209,7 @@
             why,
         )
         task.placement = None
+        task.idle_since = trio.current_time()
         self.keep_step(step)
         self._after_end(step)
 
@@ -242,6 +249,7 @@
         if placement.worker != worker.entry.id:
             return None
         task.placement = None
+        task.idle_since = trio.current_time()
         return placement
 
     def _task_done(
@@ -353,13 +361,16 @@
         while True:
             with trio.move_on_after(_IDLE_ROUND_S):
                 await self._wake.wait()
-            await trio.sleep(_ROUND_GAP_S)
+            await trio.sleep(self.strain.pause_s)
             self._wake = trio.Event()
             if self._paused or self.journal.behind_s > _ROUND_STALL_S:
                 continue
-            self._open_timed()
-            outcome = dispatcher.decide(trio.current_time())
-            self._act(outcome, permits, launcher)
+            with self.strain.measured_round():
+                self._open_timed()
+                outcome = dispatcher.decide(
+                    trio.current_time(), most_starts=self._most_starts()
+                )
+                self._act(outcome, permits, launcher)
 
     def _act(
         self, outcome: Round, permits: PermitBook, launcher: Launcher
@@ -385,8 +396,22 @@
         }.values():
             self.keep_step(step)
         if placed:
+            self._starting.extend(placed)
             self.nursery.start_soon(launcher.launch, placed)
 
+    def _most_starts(self) -> int:
+        """Return how many more starts may be under way.
+
+        A start that has long gone unanswered leaves its place to others.
+        """
+        since = trio.current_time() - _START_S
+        self._starting = [
+            one
+            for one in self._starting
+            if one.phase is Phase.STARTING and one.since > since
+        ]
+        return self.strain.most_starts - len(self._starting)
+
     def _has_urgent_queues(self) -> bool:
         configuration = self._parts.configuration()
         return configuration is not None and any(
@@ -420,6 +445,9 @@
         self.book.jobs[task.name.job].begun = True
         return placement
 
+    def _count_waiting(self) -> int:
+        return sum(self.book.waiting().values())
+
     def _open_timed(self) -> None:
         for entry in self.book.jobs.values():
             if entry.job.timed and entry.state is None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -57,6 +57,10 @@
     asking: bool = False
     not_before: float = 0.0
 
+    def may_ask(self, now: float) -> bool:
+        """Tell whether a call for the step would be made now."""
+        return not self.asking and now >= self.not_before
+
     def fresh(self, worker: WorkerId, *, now: float, life: int) -> str:
         """Return a permit that is still good for a start, or nothing."""
         granted = self.good.get(worker)
@@ -151,12 +155,27 @@
         self._keep_own_short = keep_own_short
         self._use_lanes()
 
+    def learn(
+        self, wish: PermitCall, answer: Permits | None, *, now: float
+    ) -> None:
+        """Take in the answer to a call, ``None`` if there was none."""
+        known = self.of(wish.step)
+        known.asking = False
+        if answer is None:
+            known.not_before = now + _RETRY_PAUSE_S
+            return
+        known.take_in(
+            answer,
+            asked={worker: wish.workers[worker] for worker in wish.named},
+            now=now,
+        )
+
     def _use_lanes(self) -> None:
         lanes = self._lanes()
         now = trio.current_time()
         for wish in sorted(self._wishes, key=lambda one: one.ahead):
             known = self.of(wish.step)
-            if known.asking or now < known.not_before:
+            if not known.may_ask(now):
                 continue
             lane = self._free_lane(lanes, wish)
             if lane is None:
@@ -195,23 +214,5 @@
             len(answer.granted) if answer else 'none',
             int((trio.current_time() - asked_at) * 1000),
         )
-        self._take_in(wish, answer, named)
+        self.learn(wish, answer, now=trio.current_time())
         self._on_answer()
-
-    def _take_in(
-        self,
-        wish: PermitCall,
-        answer: Permits | None,
-        named: list[WorkerId],
-    ) -> None:
-        known = self.of(wish.step)
-        known.asking = False
-        now = trio.current_time()
-        if answer is None:
-            known.not_before = now + _RETRY_PAUSE_S
-            return
-        known.take_in(
-            answer,
-            asked={worker: wish.workers[worker] for worker in named},
-            now=now,
-        )
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -10,7 +10,7 @@
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import GangPlan
 from cyclamentrack.jobs.layout import suits, with_room
-from cyclamentrack.jobs.order import prospect_of
+from cyclamentrack.jobs.order import Ready
 from cyclamentrack.jobs.permits import PermitBook, StepPermits
 from cyclamentrack.jobs.rounds import PermitWish, RoundState
 
@@ -31,8 +31,7 @@
 
     def plan(
         self,
-        entry: JobRun,
-        step: StepRun,
+        ready: Ready,
         state: RoundState,
         former: frozenset[WorkerId],
     ) -> GangPlan | None:
@@ -41,39 +40,49 @@
         Returns the plan if room is kept for it; ``former`` are the workers
         on which it was kept in the round before.
         """
-        left = [task for task in step.idle if task.name not in state.given]
-        if not left:
-            return None
+        step = ready.step
+        left = [task for task in ready.waiting if task.name not in state.given]
         known = self._permits.of(step.name)
+        permitted = bool(known.good) or ready.entry.queue.permits is None
+        asks = known.may_ask(state.now) and state.may_wish
+        if not left or not (permitted or asks):
+            return None
+        useful = permitted and ready.hopeful(state.now)
+        kept = set(state.kept)
+        if state.neglected(step):
+            eligible = state.eligible(step, known)
+            kept.difference_update(one.entry.id for one in eligible)
         candidates = [
             worker
-            for worker in state.within_reach(step)
+            for worker in state.plannable(step, keeps=useful or not permitted)
             if not _barred(known, worker, state)
             and (not known.good or worker.entry.id in known.good)
-            and worker.entry.id not in state.kept
-            and suits(step, worker)
+            and worker.entry.id not in kept
+            and suits(step.step, worker)
         ]
         plan = state.forecast.plan(
             step.step, candidates, count=len(left), former=former
         )
-        permitted = bool(known.good) or entry.queue.permits is None
-        useful = permitted and prospect_of(entry, step, state.now)
-        if entry.queue.permits is not None:
-            self._renew_for_plan(entry, step, plan, state)
+        if asks:
+            self._renew_for_plan(ready, plan, candidates, state)
         return plan if useful and state.keep(plan) else None
 
-    def wish(self, entry: JobRun, step: StepRun, state: RoundState) -> None:
+    def wish(self, ready: Ready, state: RoundState) -> None:
         """Ask for permits on workers that have room for what is left."""
+        entry = ready.entry
+        step = ready.step
         left = [
             task
-            for task in state.tasks_in_turn(entry, step)
+            for task in state.tasks_in_turn(ready)
             if task.name not in state.given
         ]
         if entry.queue.permits is None or not left:
             return
+        room_left = state.neglected(step) or state.demand.admit(step, len(left))
         known = self._permits.of(step.name)
+        if not known.may_ask(state.now) or not state.may_wish:
+            return
         wanted = state.eligible(step, known)
-        room_left = state.neglected(step) or state.demand.admit(step, len(left))
         if not wanted:
             self._prepare(entry, step, state)
         elif room_left:
@@ -92,34 +101,40 @@
 
     def _renew_for_plan(
         self,
-        entry: JobRun,
-        step: StepRun,
+        ready: Ready,
         plan: GangPlan,
+        candidates: list[Worker],
         state: RoundState,
     ) -> None:
         """Ask for permits that will hold when the plan's moments come."""
-        policy = entry.queue.permits
+        step = ready.step
+        policy = ready.entry.queue.permits
+        if policy is None:
+            return
         known = self._permits.of(step.name)
-        decide_s = policy.decide_s if policy else 0
-        soon = state.now + decide_s + _PERMIT_LEAD_S
+        soon = state.now + policy.decide_s + _PERMIT_LEAD_S
         due = [
             worker
-            for worker in state.within_reach(step)
+            for worker in candidates
             if plan.starts.get(worker.entry.id, _NEVER) <= soon
             and not known.fresh(
                 worker.entry.id, now=state.now, life=worker.life
             )
         ]
-        unknown = self._unknown(step, state)
         roomy = [
             worker
-            for worker in with_room(step, unknown)
-            if state.open_to(step, worker)
+            for worker in _with_room(step, state)
+            if not _barred(known, worker, state)
+            and worker.entry.id not in known.good
+            and state.open_to(step, worker)
         ]
-        if due or roomy or (unknown and not known.good):
+        if known.good and not (due or roomy):
+            return
+        unknown = self._unknown(step, state)
+        if due or unknown:
             state.outcome.wishes.append(
                 PermitWish(
-                    entry=entry,
+                    entry=ready.entry,
                     step=step,
                     workers=_distinct([*due, *roomy, *unknown]),
                 ),
@@ -138,7 +153,7 @@
             for worker in state.within_reach(step)
             if not _barred(known, worker, state)
             and worker.entry.id not in known.good
-            and suits(step, worker)
+            and suits(step.step, worker)
             and need.fits(worker.entry.capacity)
         ]
 
@@ -148,6 +163,8 @@
         Otherwise each room that becomes free waits for a decision first.
         """
         known = self._permits.of(step.name)
+        if not known.good or state.prepared >= _PREPARED:
+            return
         stale = [
             worker
             for worker in state.usable
@@ -156,13 +173,20 @@
                 worker.entry.id, now=state.now, life=worker.life
             )
         ]
-        if stale and state.prepared < _PREPARED:
+        if stale:
             state.prepared += 1
             state.outcome.wishes.append(
                 PermitWish(entry=entry, step=step, workers=stale, ahead=True)
             )
 
 
+def _with_room(step: StepRun, state: RoundState) -> list[Worker]:
+    found = state.rooms.with_room(step.step)
+    if state.neglected(step):
+        found.extend(with_room(step.step, state.suspects))
+    return found
+
+
 def _barred(known: StepPermits, worker: Worker, state: RoundState) -> bool:
     return known.barred(worker.entry.id, now=state.now, life=worker.life)
 
