--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -530,49 +530,41 @@
                 raise OwnershipLostError(part=owner.claim.pool)
 
     async def _give_to_peer(
-        self, owner: SliceOwner, addresses: list[str]
+        self, owner: SliceOwner, peers: list[Member]
     ) -> bool:
         """Have the first of some peers that can do so claim a slice."""
         claim = owner.claim
         message = YieldSlice(pool=claim.pool, claim=claim.id)
-        for address in addresses:
+        for peer in peers:
             try:
                 reply = await self.parts.peers.call(
-                    address=address, message=message, timeout_s=_YIELD_WAIT_S
+                    address=peer.address,
+                    message=message,
+                    timeout_s=_YIELD_WAIT_S,
                 )
             except PeerSilentError:
                 continue
             match reply:
                 case Verdict(kept='kept'):
                     _log.info(
-                        'slice yielded pool=%s to=%s', claim.pool, address
+                        'slice yielded pool=%s to=%s', claim.pool, peer.node
                     )
                     return True
         return False
 
-    def _more_capable(self, owner: SliceOwner) -> list[str]:
-        """Return the addresses of peers of a higher class that own nothing."""
-        members = {**self.members, self.me.node: self.me}
-        everyone = members.values()
+    def _more_capable(self, owner: SliceOwner) -> list[Member]:
+        """Return the peers of a higher class that own nothing."""
+        everyone = [*self.members.values(), self.me]
         own = capacity_class(self.me, everyone)
-        owning = {
-            seen.lease.address
-            for seen in self.board.seen.values()
-            if not seen.lease.released
-        }
-        better = {
-            member.address
-            for member in everyone
-            if capacity_class(member, everyone) < own
-        }
+        owning = self._owning()
         return [
-            address
-            for address in self._successors(owner.claim.pool)
-            if address in better - owning
+            peer
+            for peer in self._successors(owner.claim.pool)
+            if peer.node not in owning and capacity_class(peer, everyone) < own
         ]
 
-    def _successors(self, pool: PoolName) -> list[str]:
-        """Return the addresses of peers in their order of claims."""
+    def _successors(self, pool: PoolName) -> list[Member]:
+        """Return all peers in their order of claims."""
         owning = self._owning()
         others = {
             name: member
@@ -585,7 +577,7 @@
                 pool, name, members=others, owning=owning
             ),
         )
-        return [others[name].address for name in names]
+        return [others[name] for name in names]
 
     async def _release(self, pool: PoolName) -> None:
         owner = self.owners[pool]
