--- a/features/jobs/ownership.feature
+++ b/features/jobs/ownership.feature
@@ -14,6 +14,11 @@
     And 4 seconds go by
     Then large nodes own all pools
 
+  Scenario: A lost slice is logged with the reason, not with a group of errors
+    When another owner fences the first pool
+    And 1 second goes by
+    Then the log names a newer owner as the reason
+
   Scenario: Small nodes claim soon once no large one lives
     When all large nodes are killed
     And 6 seconds go by
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -1,9 +1,15 @@
 """Steps about which nodes own pools."""
 
+from unittest import mock
+
 from behave import given, then, when
 
+from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName
-from cyclamentrack.jobs.records import lease_key
+from cyclamentrack.jobs import cell
+from cyclamentrack.jobs.journal import Head, head_key
+from cyclamentrack.jobs.model import JobId
+from cyclamentrack.jobs.records import closed_key, lease_key
 from features.harness.jobworld import JobWorld, make_queue
 
 _LARGE = {'cores': 2.15, 'link_mbps': 200.0}
@@ -85,6 +91,34 @@
     context.jobs.kill_node(_owners(context)[0])
 
 
+@when('another owner fences the first pool')
+def fence_first(context):
+    patch = mock.patch.object(cell, '_log')
+    context.log = patch.start()
+    context.add_cleanup(patch.stop)
+    world = context.jobs
+    pool = _pools(context)[0]
+    owner = world.cells[world.owner(pool)].owners[pool]
+
+    async def fence():
+        head = Head(owner='another', number=0)
+        world.rows.put(head_key(pool), encode(head))
+        owner.journal.put(closed_key(pool, JobId('0')), b'')
+
+    world.loop.run(fence)
+
+
+@then('the log names a newer owner as the reason')
+def check_reason(context):
+    lost = [
+        call.args[0] % call.args[1:]
+        for call in context.log.warning.mock_calls
+        if call.args[0].startswith('slice lost')
+    ]
+    assert lost, 'not logged'
+    assert all('newer owner' in line for line in lost), lost
+
+
 @when('all large nodes are killed')
 def kill_large(context):
     for name in _large_names(context):
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -464,7 +464,7 @@
                 'slice lost pool=%s token=%d why=%s',
                 pool,
                 owner.claim.token,
-                lost.exceptions[0],
+                _first_cause(lost),
             )
         except* Exception:
             _log.exception('slice dropped by an error pool=%s', pool)
@@ -592,3 +592,10 @@
             _log.warning('slice not released pool=%s', pool)
         else:
             _log.info('slice released pool=%s', pool)
+
+
+def _first_cause(error: BaseException) -> BaseException:
+    """Return an error of nested groups of them."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
