Read each lease by itself after lost history too

What callers would see: jobs of one pool wait as long as the store leaves another pool's rows unanswered, if the store loses its history meanwhile and the first pool's owner dies.

Cause: the leases that are missing were read in rounds, and a round ended only once its last lease had been read. One that isn't answered held up the leases that lost history had made missing since.

The reads now belong to one stretch of the feed: lost history ends them and starts one for each part. That also drops a read that was under way when the history was lost, whose answer could be older than the feed's new position.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -21,6 +21,17 @@
     And 1 second goes by
     Then some node owns the pool "stage"
 
+  Scenario: A lease that can not be read holds up no pool once history is lost
+    Given a second pool "stage"
+    And the store leaves the rows of the pool unanswered
+    When every node is restarted
+    And 2 seconds go by
+    Then some node owns the pool "stage"
+    When the owner of "stage" is killed
+    And every node loses the history of the store
+    And 4 seconds go by
+    Then some node owns the pool "stage"
+
   Scenario: Nodes that start while the empty part is unanswered claim at once
     Given the store leaves the rows of no pool unanswered
     When every node is restarted
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -1,9 +1,11 @@
 """Steps about a store that leaves some rows unanswered."""
 
 import msgspec
+import trio
 from behave import given, step, then, when
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.ports import RowKey
 from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import Front
@@ -98,3 +100,24 @@
 def check_count(context, count):
     reply = _count(context, list(_world(context).cells)[-1])
     assert reply.json() == {'Waiting': count}, (reply.status, reply.body)
+
+
+@when('the owner of "{name}" is killed')
+def kill_owner_of(context, name):
+    world = _world(context)
+    for node, cell in list(world.cells.items()):
+        if PoolName(name) in cell.owners:
+            world.kill_node(node)
+
+
+@when('every node loses the history of the store')
+def lose_history(context):
+    rows = _world(context).rows
+
+    async def lose():
+        for _ in range(15):
+            rows.put(RowKey('other', '', 'key'), b'')
+            rows.drop_history()
+            await trio.sleep(0.1)
+
+    _world(context).loop.run(lose)
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -64,7 +64,6 @@
         self.loaded = trio.Event()
         self.changed = trio.Event()
         self._missing: set[str] = set()
-        self._missed = trio.Event()
         self._store = store
         self._blind_since: float | None = None
 
@@ -104,9 +103,12 @@
 
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_missing)
-            await self._follow_feed()
+        while True:
+            async with trio.open_nursery() as nursery:
+                version = await self._begin(nursery)
+                await self._follow_feed(version)
+                nursery.cancel_scope.cancel()
+            await trio.sleep(_RETRY_S)
 
     def learn(self, conflict: Conflict) -> None:
         """Take in the leases that stood in a claim's way."""
@@ -114,14 +116,29 @@
             tuple(row for row in conflict.rows if row.key.table == CLAIMS)
         )
 
-    async def _follow_feed(self) -> None:
-        version: int | None = None
+    async def _begin(self, nursery: trio.Nursery) -> int:
+        """Have all leases read; return the version from which to follow.
+
+        The store may leave one pool's rows unanswered and serve the others.
+        """
+        while True:
+            try:
+                parts = await self._store.parts(table=CLAIMS)
+            except (StoreUncertainError, StoreRefusedError) as error:
+                self._go_blind(error)
+                await trio.sleep(_RETRY_S)
+                continue
+            self._missing = set(parts.names)
+            for part in parts.names:
+                nursery.start_soon(self._read_part, part)
+            self.loaded.set()
+            return parts.version
+
+    async def _follow_feed(self, version: int) -> None:
+        """Follow the feed until its history is lost."""
         heard_at = -math.inf
         while True:
             try:
-                if version is None:
-                    heard_at = -math.inf
-                    version = await self._begin()
                 changes = await self._store.follow(
                     table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
                 )
@@ -130,35 +147,13 @@
                 await trio.sleep(_RETRY_S)
                 continue
             except HistoryLostError:
-                version = None
-                await trio.sleep(_RETRY_S)
-                continue
+                return
             version = changes.version
             self._see_again()
             self._take(changes.rows, written_after=heard_at)
             heard_at = trio.current_time()
             await trio.sleep(_FOLLOW_GAP_S)
 
-    async def _begin(self) -> int:
-        """Have all leases read; return the version from which to follow."""
-        parts = await self._store.parts(table=CLAIMS)
-        self._missing.update(parts.names)
-        self._missed.set()
-        self.loaded.set()
-        return parts.version
-
-    async def _read_missing(self) -> None:
-        """Read the leases that the feed doesn't bring.
-
-        The store may leave one pool's rows unanswered and serve the others.
-        """
-        while True:
-            await self._missed.wait()
-            self._missed = trio.Event()
-            async with trio.open_nursery() as nursery:
-                for part in tuple(self._missing):
-                    nursery.start_soon(self._read_part, part)
-
     async def _read_part(self, part: str) -> None:
         while part in self._missing:
             try:
