Keep a job's final state until its row is removed

What callers would see: a job that completed runs again, two minutes later.

The final state now goes once the store has said that the row is removed; what isn't answered is tried again.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -68,3 +68,13 @@
     When a job of the steps "2" waits for permits
     And 4 seconds go by
     Then the last node tells that 1 job waits
+
+  Scenario: A job whose row can not be removed does not run again
+    When a job of the steps "2" is submitted
+    And 3 seconds go by
+    And the store leaves the jobs unanswered
+    And 140 seconds go by
+    And the owner is killed
+    And the store answers for all rows
+    And 8 seconds go by
+    Then each of its tasks was started 1 time at most
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -116,7 +116,10 @@
         self._owner.wake()
 
     async def sweep(self) -> None:
-        """Remove jobs whose state no caller may ask for any more."""
+        """Remove jobs whose state no caller may ask for any more.
+
+        A job whose row outlived its final state would run again.
+        """
         while True:
             await trio.sleep(_SWEEP_S)
             horizon = self._parts.wall_clock() - self._owner.tuning.status_s
@@ -126,12 +129,8 @@
                 if closed.closed_at_s < horizon
             ]
             for job in old:
-                self._owner.book.closed.pop(job)
-                self._owner.book.cancels.discard(job)
-                self._owner.journal.put(
-                    closed_key(self._owner.claim.pool, job), None
-                )
-                await self._remove_job(job)
+                if await self._remove_job(job):
+                    self._forget(job)
 
     def _resume(self, entry: JobRun) -> None:
         if entry.job.id in self._owner.book.cancels:
@@ -208,10 +207,18 @@
         if entry is not None and self._owner.recovered.is_set():
             self._owner.close(entry, JobState.CANCELLED)
 
-    async def _remove_job(self, job: JobId) -> None:
+    def _forget(self, job: JobId) -> None:
+        self._owner.book.closed.pop(job)
+        self._owner.book.cancels.discard(job)
+        self._owner.journal.put(closed_key(self._owner.claim.pool, job), None)
+
+    async def _remove_job(self, job: JobId) -> bool:
+        """Remove what was handed in; tell whether that is done."""
         pool = self._owner.claim.pool
         rows = (job_key(pool, job), cancel_key(pool, job))
         try:
             await self._store.commit(Batch(removes=rows))
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.info('job %s stays in the store: %s', job, error)
+            return False
+        return True
