Refuse no job for want of a worker that only a successor misses

What callers would see: 422 for a job that a worker of the pool could hold, after a takeover while that worker's entry has lapsed (a store outage ends the entries of all workers for some seconds).

Cause: a lease carries the shapes of all workers that the pool has had, but a new owner replaced them by those that it had seen itself. Its list is right and not whole, and the refusal is final for the caller.

Renewals now join the shapes to those that the lease had. The scenario failed before with 'impossible'.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -78,3 +78,11 @@
     And the store answers for all rows
     And 8 seconds go by
     Then each of its tasks was started 1 time at most
+
+  Scenario: A job is not refused for want of a worker that a takeover misses
+    Given a larger worker whose entry has lapsed
+    Then a job that needs the larger worker is kept
+    When the owner is killed
+    And 4 seconds go by
+    Then some node owns the pool
+    And a job that needs the larger worker is kept
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -7,6 +7,7 @@
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.ports import RowKey
 from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts
+from cyclamentrack.jobs.service import Kept
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import Front
 from features.harness.asgi import call_app
@@ -121,3 +122,18 @@
             await trio.sleep(0.1)
 
     _world(context).loop.run(lose)
+
+
+@given('a larger worker whose entry has lapsed')
+def lapse_larger(context):
+    world = _world(context)
+    world.add_worker(9, cores=64)
+    world.loop.sleep(2)
+    world.drop_worker_entry(9)
+    world.loop.sleep(1)
+
+
+@then('a job that needs the larger worker is {kept}')
+def check_larger(context, kept):
+    found = _world(context).submit(make_step(1, cores=32))
+    assert found[1] is Kept(kept), found
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -270,14 +270,15 @@
     ) -> None:
         """Renew once; without a count of what waits it stays unknown.
 
-        A lease that was released isn't renewed any more. Raises
-        ``OwnershipLostError`` when another claim stands there.
+        Shapes join those that earlier owners have seen. A lease that was
+        released isn't renewed any more. Raises ``OwnershipLostError`` when
+        another claim stands there.
         """
         async with self._turn:
             if not self._lease.released:
                 await self._write(
                     waiting=self._lease.waiting if waiting is None else waiting,
-                    shapes=shapes or self._lease.shapes,
+                    shapes=_joined(self._lease.shapes, shapes),
                 )
 
     async def release(self) -> None:
@@ -309,3 +310,9 @@
                     raise OwnershipLostError(part=self._claim.pool)
                 self._version = row.version
                 return False
+
+
+def _joined(
+    known: tuple[Shape, ...], found: tuple[Shape, ...]
+) -> tuple[Shape, ...]:
+    return tuple(dict.fromkeys((*known, *found)))
