Give up runs of unlisted workers only once the list was read

What callers would see: work done twice after a takeover while the store leaves some rows unanswered: tasks whose ends wait at their workers begin elsewhere.

Cause: runs on workers that aren't listed are given up at a fixed time after the claim. When an owner recovers late, or can't read the list, that time has passed before a single worker is known, and all adopted runs were given up. Found by reading.

The time and the first whole list must both have come.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -86,3 +86,15 @@
     And 4 seconds go by
     Then some node owns the pool
     And a job that needs the larger worker is kept
+
+  Scenario: Runs are not given up before the list of workers is read
+    Given the list of workers can't be read
+    When a job of the steps "4" of 5 seconds is submitted
+    And 0.5 seconds go by
+    And the owner is killed
+    And 12 seconds go by
+    Then its runs are not given up
+    When the list of workers can be read
+    And 3 seconds go by
+    Then the job is shown as "completed" by every node
+    And each of its tasks was started 1 time at most
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -5,6 +5,7 @@
 from behave import given, step, then, when
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.book import placements
 from cyclamentrack.jobs.ports import RowKey
 from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts
 from cyclamentrack.jobs.service import Kept
@@ -137,3 +138,20 @@
 def check_larger(context, kept):
     found = _world(context).submit(make_step(1, cores=32))
     assert found[1] is Kept(kept), found
+
+
+@given("the list of workers can't be read")
+def silence_workers(context):
+    _world(context).rows.silent_scans.add(('servers', ''))
+
+
+@when('the list of workers can be read')
+def answer_workers(context):
+    _world(context).rows.silent_scans.clear()
+
+
+@then('its runs are not given up')
+def check_adopted(context):
+    world = _world(context)
+    book = world.cells[world.owner()].owners[POOL].book
+    assert len(list(placements(book))) == 4
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -44,6 +44,7 @@
         self._owner = owner
         self._parts = parts
         self._store = parts.store
+        self._listed = trio.Event()
 
     async def follow(self) -> None:
         """Follow the list until cancelled."""
@@ -73,6 +74,7 @@
         lease = self._owner.tuning.worker_lease_s * _CLOCK_SLACK
         settled_at = self._owner.claim.claimed_at + lease + _FORMER_OWNER_S
         await trio.sleep_until(settled_at)
+        await self._listed.wait()
         for placement in list(placements(self._owner.book)):
             if placement.worker not in self._owner.fleet.workers:
                 self._owner.run_lost(placement, why='its worker is not listed')
@@ -85,6 +87,7 @@
         for row in rows:
             self._take_worker(row)
         self._owner.book.see_room(self._owner.fleet.room)
+        self._listed.set()
 
     def _take_workers(self, changes: Changes) -> None:
         for key in changes.removed:
