Refuse no job by a list of shapes that may lack some

What callers would see: 422 for a job that some worker of a large pool holds.

Cause: a lease carries at most 64 shapes, and labels make each rack a shape of its own. What was seen after those counted as not there.

A full list now refuses nothing. The scenario failed before with 'impossible'.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -98,3 +98,7 @@
     And 3 seconds go by
     Then the job is shown as "completed" by every node
     And each of its tasks was started 1 time at most
+
+  Scenario: A pool of many unlike workers refuses nothing that one could hold
+    Given 70 workers that differ, the last one larger
+    Then a job that needs the larger worker is kept
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -155,3 +155,12 @@
     world = _world(context)
     book = world.cells[world.owner()].owners[POOL].book
     assert len(list(placements(book))) == 4
+
+
+@given('{count:d} workers that differ, the last one larger')
+def add_unlike_workers(context, count):
+    world = _world(context)
+    for number in range(count):
+        world.add_worker(100 + 3 * number)
+    world.add_worker(9, cores=64)
+    world.loop.sleep(2)
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -15,7 +15,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.journal import Head, OwnershipLostError, head_key
-from cyclamentrack.jobs.model import QueueName, Shape, Token
+from cyclamentrack.jobs.model import MAX_SHAPES, QueueName, Shape, Token
 from cyclamentrack.jobs.ports import (
     Batch,
     Committed,
@@ -315,4 +315,4 @@
 def _joined(
     known: tuple[Shape, ...], found: tuple[Shape, ...]
 ) -> tuple[Shape, ...]:
-    return tuple(dict.fromkeys((*known, *found)))
+    return tuple(dict.fromkeys((*known, *found)))[:MAX_SHAPES]
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -6,6 +6,7 @@
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.model import (
+    MAX_SHAPES,
     Shape,
     Step,
     TaskName,
@@ -17,8 +18,6 @@
 _MS_PER_S = 1000
 # A worker's steady clock may be this much slow, so its leases last longer.
 _CLOCK_SLACK = 1.03
-# Shapes travel with each renewal of a lease; a pool has a handful.
-_SHAPES = 64
 _LEASE_MARGIN_S = 0.3
 # Orders that go unanswered come in spells of several seconds.
 _TROUBLE_S = 6.0
@@ -180,7 +179,7 @@
 
     @property
     def shapes(self) -> tuple[Shape, ...]:
-        """The shapes of all workers that were ever listed."""
+        """The shapes of workers that were ever listed."""
         return tuple(self._shapes)
 
     def note_unanswered(self, now: float) -> None:
@@ -208,7 +207,7 @@
             self.workers[entry.id] = worker
         worker.entry = entry
         worker.listed = True
-        if len(self._shapes) < _SHAPES:
+        if len(self._shapes) < MAX_SHAPES:
             self._shapes[_shape(entry)] = None
         return worker
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -181,6 +181,10 @@
         return self.labels[-1] if self.labels else ''
 
 
+# Shapes travel with each renewal of a lease. A list of so many may lack some.
+MAX_SHAPES = 64
+
+
 class Shape(msgspec.Struct, frozen=True, array_like=True):
     """What some worker of a pool has: its capacity and its labels."""
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -26,8 +26,8 @@
 
     ``released`` says that the owner has handed the slice over. ``waiting``
     counts by queue the jobs of which no task has started, ``None`` until the
-    owner has recovered; ``shapes`` are those of all workers that the pool has
-    had.
+    owner has recovered; ``shapes`` are those of the workers that the pool has
+    had, ``MAX_SHAPES`` at most.
     """
 
     node: str
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -38,7 +38,14 @@
     WaitingIs,
     YieldSlice,
 )
-from cyclamentrack.jobs.model import Job, JobId, JobState, Queue, QueueName
+from cyclamentrack.jobs.model import (
+    MAX_SHAPES,
+    Job,
+    JobId,
+    JobState,
+    Queue,
+    QueueName,
+)
 from cyclamentrack.jobs.ports import StoreRefusedError
 from cyclamentrack.jobs.records import closed_key, job_key
 
@@ -171,7 +178,7 @@
         """Tell whether the pool has had a worker for each of the steps."""
         seen = self._cell.board.seen.get(job.pool)
         shapes = seen.lease.shapes if seen else ()
-        if not shapes:
+        if not shapes or len(shapes) >= MAX_SHAPES:
             return True
         return all(could_hold(step, shapes) for step in job.steps)
 
