Hand over each slice by itself at an orderly end

What callers would see: jobs of a pool stand still for some seconds when the node that owns it is stopped while the store leaves another pool's rows unanswered.

Cause: a node that leaves handed its slices over one after the other, within 1.5 s for all. One whose rows aren't answered used that up, so those behind it were neither yielded nor released and had to lapse. Found by reading.

They are now handed over side by side. The scenario failed before.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -102,3 +102,11 @@
   Scenario: A pool of many unlike workers refuses nothing that one could hold
     Given 70 workers that differ, the last one larger
     Then a job that needs the larger worker is kept
+
+  Scenario: A node that leaves hands a pool over though another is unanswered
+    Given a second pool "stage"
+    And one node owns both pools
+    And the store leaves the rows of the pool unanswered
+    When the owner leaves
+    And 0.5 seconds go by
+    Then another node owns the pool "stage"
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -164,3 +164,23 @@
         world.add_worker(100 + 3 * number)
     world.add_worker(9, cores=64)
     world.loop.sleep(2)
+
+
+@given('one node owns both pools')
+def own_both(context):
+    world = _world(context)
+    others = [name for name in world.cells if name != world.owner()]
+    for name in others:
+        world.kill_node(name)
+    world.loop.sleep(5)
+    for name in others:
+        world.start_node(name)
+    world.loop.sleep(2)
+    assert len(world.cells[world.owner()].owners) == 2
+
+
+@then('another node owns the pool "{name}"')
+def check_other_owner(context, name):
+    cells = _world(context).cells
+    owners = {node for node in cells if PoolName(name) in cells[node].owners}
+    assert owners - {context.former}, owners
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -127,8 +127,11 @@
         """Release all slices, so that others claim them at once."""
         self.leaving = True
         with trio.move_on_after(_HANDOVER_S):
-            for pool in list(self.owners):
-                await self._release(pool)
+            async with trio.open_nursery() as nursery:
+                for pool, owner in self.owners.items():
+                    nursery.start_soon(
+                        self._release, owner, self._keepers[pool]
+                    )
             await self._leave()
 
     def owner_address(self, pool: PoolName) -> str | None:
@@ -498,9 +501,8 @@
                     return True
         return False
 
-    async def _release(self, pool: PoolName) -> None:
-        owner = self.owners[pool]
-        keeper = self._keepers[pool]
+    async def _release(self, owner: SliceOwner, keeper: LeaseKeeper) -> None:
+        pool = owner.claim.pool
         owner.pause()
         await owner.journal.flushed()
         if await self._give_to_peer(owner):
