Count a job as waiting until a task of it has started

What callers would see: Waiting 0 while jobs wait whose starts were all refused or went unanswered, also after a takeover.

Cause: a job counted as begun from the decision to place a task, before any worker had said yes, and a successor took a run number for a start.

A job has begun once a worker has confirmed or listed a run, or a record shows an end or a checkpoint.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -117,3 +117,12 @@
     And a node keeps a job and dies
     And 4 seconds go by
     Then the job is shown as "completed" by every node
+
+  Scenario: A job whose starts are refused still counts as waiting
+    Given every worker refuses the first job
+    When a job of the steps "2" is submitted
+    And 3 seconds go by
+    Then the last node tells that 1 job waits
+    When the owner is killed
+    And 5 seconds go by
+    Then the last node tells that 1 job waits
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -7,7 +7,7 @@
 from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.book import placements
-from cyclamentrack.jobs.model import Job, JobId, QueueName
+from cyclamentrack.jobs.model import Job, JobId, QueueName, TaskName
 from cyclamentrack.jobs.ports import RowKey
 from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts, job_key
 from cyclamentrack.jobs.service import Kept
@@ -210,3 +210,11 @@
         world.rows.put(job_key(POOL, job.id), encode(job))
 
     world.loop.run(keep)
+
+
+@given('every worker refuses the first job')
+def refuse_first_job(context):
+    for worker in _world(context).workers.workers.values():
+        for index in range(2):
+            task = TaskName(JobId('0000000000000001'), 0, 0, index)
+            worker.sealed[task] = 1_000_000
--- a/packages/cyclamentrack/cyclamentrack/jobs/book.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/book.py
@@ -145,6 +145,7 @@
     steps: dict[tuple[int, int], StepRun] = msgspec.field(
         default_factory=dict,
     )
+    placed_once: bool = False
     begun: bool = False
     idle_since: float = 0.0
     published: bool = False
@@ -162,13 +163,19 @@
         """The state that callers are told."""
         if self.state is not None and self.published:
             return self.state
-        return JobState.RUNNING if self.begun else JobState.QUEUED
+        return JobState.RUNNING if self.has_begun() else JobState.QUEUED
 
     @property
     def placed(self) -> list[Placement]:
         """Runs of this job that some worker has."""
         return [run for step in self.steps.values() for run in step.placed]
 
+    def has_begun(self) -> bool:
+        """Tell whether a task is known to have started; that stays so."""
+        if self.placed_once and not self.begun:
+            self.begun = any(run.phase is Phase.RUNNING for run in self.placed)
+        return self.begun
+
 
 class JobBook:
     """All jobs of one slice."""
@@ -279,7 +286,7 @@
         """Count by queue the jobs of which no task has started."""
         counts: dict[QueueName, int] = {}
         for entry in self.jobs.values():
-            if entry.state is None and not entry.begun:
+            if entry.state is None and not entry.has_begun():
                 name = entry.job.queue
                 counts[name] = counts.get(name, 0) + 1
         return counts
@@ -291,7 +298,8 @@
         run = self._open_step(entry, (occurrence, step), now)
         for row in decode(body, list[TaskRow]):
             _restore_task(run.tasks[row.index], row, now)
-            entry.begun = entry.begun or row.run > 0
+            entry.placed_once = entry.placed_once or row.run > 0
+            entry.begun = entry.begun or _has_run(row)
         if run.done:
             self.open_steps.pop(run.name, None)
 
@@ -358,6 +366,11 @@
     )
 
 
+def _has_run(row: TaskRow) -> bool:
+    """Tell whether a run of a task is known to have started."""
+    return row.done or row.failures > 0 or bool(row.checkpoint)
+
+
 def _restore_task(task: TaskRun, row: TaskRow, now: float) -> None:
     task.run = row.run
     task.done = row.done
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -178,6 +178,7 @@
         if task is None or step is None:
             return
         self._log_end(worker, report, task)
+        self.book.jobs[step.name.job].begun = True
         current = self._clear(task, worker, report.run)
         if report.end is End.DONE:
             self._task_done(step, task, worker, current)
@@ -202,6 +203,7 @@
             placement.worker,
             why,
         )
+        self.book.jobs[step.name.job].has_begun()
         task.placement = None
         self.keep_step(step)
         self._after_end(step)
@@ -417,7 +419,7 @@
             resumed=bool(task.checkpoint),
         )
         task.placement = placement
-        self.book.jobs[task.name.job].begun = True
+        self.book.jobs[task.name.job].placed_once = True
         return placement
 
     def _open_timed(self) -> None:
