--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -15,7 +15,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.journal import Head, OwnershipLostError, head_key
-from cyclamentrack.jobs.model import QueueName, Shape, Token
+from cyclamentrack.jobs.model import MAX_SHAPES, QueueName, Shape, Token
 from cyclamentrack.jobs.ports import (
     Batch,
     Committed,
@@ -64,7 +64,6 @@
         self.loaded = trio.Event()
         self.changed = trio.Event()
         self._missing: set[str] = set()
-        self._missed = trio.Event()
         self._store = store
         self._blind_since: float | None = None
 
@@ -113,9 +112,12 @@
 
     async def follow(self) -> None:
         """Follow the leases until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._read_missing)
-            await self._follow_feed()
+        while True:
+            async with trio.open_nursery() as nursery:
+                version = await self._begin(nursery)
+                await self._follow_feed(version)
+                nursery.cancel_scope.cancel()
+            await trio.sleep(_RETRY_S)
 
     def learn(self, conflict: Conflict) -> None:
         """Take in the leases that stood in a claim's way."""
@@ -123,14 +125,29 @@
             tuple(row for row in conflict.rows if row.key.table == CLAIMS)
         )
 
-    async def _follow_feed(self) -> None:
-        version: int | None = None
+    async def _begin(self, nursery: trio.Nursery) -> int:
+        """Have all leases read; return the version from which to follow.
+
+        The store may leave one pool's rows unanswered and serve the others.
+        """
+        while True:
+            try:
+                parts = await self._store.parts(table=CLAIMS)
+            except (StoreUncertainError, StoreRefusedError) as error:
+                self._go_blind(error)
+                await trio.sleep(_RETRY_S)
+                continue
+            self._missing = set(parts.names)
+            for part in parts.names:
+                nursery.start_soon(self._read_part, part)
+            self.loaded.set()
+            return parts.version
+
+    async def _follow_feed(self, version: int) -> None:
+        """Follow the feed until its history is lost."""
         heard_at = -math.inf
         while True:
             try:
-                if version is None:
-                    heard_at = -math.inf
-                    version = await self._begin()
                 changes = await self._store.follow(
                     table=CLAIMS, after=version, wait_s=_FOLLOW_WAIT_S
                 )
@@ -139,35 +156,13 @@
                 await trio.sleep(_RETRY_S)
                 continue
             except HistoryLostError:
-                version = None
-                await trio.sleep(_RETRY_S)
-                continue
+                return
             version = changes.version
             self._see_again()
             self._take(changes.rows, written_after=heard_at)
             heard_at = trio.current_time()
             await trio.sleep(_FOLLOW_GAP_S)
 
-    async def _begin(self) -> int:
-        """Have all leases read; return the version from which to follow."""
-        parts = await self._store.parts(table=CLAIMS)
-        self._missing.update(parts.names)
-        self._missed.set()
-        self.loaded.set()
-        return parts.version
-
-    async def _read_missing(self) -> None:
-        """Read the leases that the feed doesn't bring.
-
-        The store may leave one pool's rows unanswered and serve the others.
-        """
-        while True:
-            await self._missed.wait()
-            self._missed = trio.Event()
-            async with trio.open_nursery() as nursery:
-                for part in tuple(self._missing):
-                    nursery.start_soon(self._read_part, part)
-
     async def _read_part(self, part: str) -> None:
         while part in self._missing:
             try:
@@ -207,7 +202,7 @@
             if known is not None and known.version >= row.version:
                 continue
             self.seen[pool] = SeenLease(
-                lease=decode(row.body, Lease),
+                lease=_lease_of(row),
                 version=row.version,
                 changed_at=now,
                 written_after=written_after,
@@ -284,14 +279,15 @@
     ) -> None:
         """Renew once; without a count of what waits it stays unknown.
 
-        A lease that was released isn't renewed any more. Raises
-        ``OwnershipLostError`` when another claim stands there.
+        Shapes join those that earlier owners have seen. A lease that was
+        released isn't renewed any more. Raises ``OwnershipLostError`` when
+        another claim stands there.
         """
         async with self._turn:
             if not self._lease.released:
                 await self._write(
                     waiting=self._lease.waiting if waiting is None else waiting,
-                    shapes=shapes or self._lease.shapes,
+                    shapes=_joined(self._lease.shapes, shapes),
                 )
 
     async def release(self) -> None:
@@ -323,3 +319,18 @@
                     raise OwnershipLostError(part=self._claim.pool)
                 self._version = row.version
                 return False
+
+
+def _joined(
+    known: tuple[Shape, ...], found: tuple[Shape, ...]
+) -> tuple[Shape, ...]:
+    return tuple(dict.fromkeys((*known, *found)))[:MAX_SHAPES]
+
+
+def _lease_of(row: StoredRow) -> Lease:
+    """Read a lease; one that can't be read is up for a claim."""
+    try:
+        return decode(row.body, Lease)
+    except msgspec.ValidationError as error:
+        _log.warning('lease of pool=%s not decoded: %s', row.key.part, error)
+    return Lease(node='', claim='', address='', number=0, released=True)
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -184,6 +184,7 @@
         if task is None or step is None:
             return
         self._log_end(worker, report, task)
+        self.book.jobs[step.name.job].begun = True
         current = self._clear(task, worker, report.run)
         if report.end is End.DONE:
             self._task_done(step, task, worker, current)
@@ -208,6 +209,7 @@
             placement.worker,
             why,
         )
+        self.book.jobs[step.name.job].has_begun()
         task.placement = None
         task.idle_since = trio.current_time()
         self.keep_step(step)
@@ -442,7 +444,7 @@
             resumed=bool(task.checkpoint),
         )
         task.placement = placement
-        self.book.jobs[task.name.job].begun = True
+        self.book.jobs[task.name.job].placed_once = True
         return placement
 
     def _count_waiting(self) -> int:
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -47,6 +47,7 @@
         self._parts = parts
         self._store = parts.store
         self._greeting = trio.CapacityLimiter(_GREETINGS)
+        self._listed = trio.Event()
 
     async def follow(self) -> None:
         """Follow the list until cancelled."""
@@ -76,6 +77,7 @@
         lease = self._owner.tuning.worker_lease_s * _CLOCK_SLACK
         settled_at = self._owner.claim.claimed_at + lease + _FORMER_OWNER_S
         await trio.sleep_until(settled_at)
+        await self._listed.wait()
         for placement in list(placements(self._owner.book)):
             if placement.worker not in self._owner.fleet.workers:
                 self._owner.run_lost(placement, why='its worker is not listed')
@@ -87,6 +89,7 @@
                 self._owner.fleet.lose(worker)
         self._take_rows(rows)
         self._owner.book.see_room(self._owner.fleet.room)
+        self._listed.set()
 
     def _take_workers(self, changes: Changes) -> None:
         for key in changes.removed:
