Ask for room only on the workers that a step has permits for

A step now looks at the workers of its fresh permits, after it is known that some of its tasks may be placed, and a round wishes for as many calls as lanes are free, and four more. Five full pools of 20 to 126 workers placed as many tasks as before, in each.

--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -102,7 +102,9 @@
         self.book = JobBook()
         self.fleet = Fleet()
         self.permits = PermitBook(
-            nursery=None, lanes=dict, on_answer=lambda: None
+            nursery=None,
+            lanes=lambda: dict.fromkeys(('', 'peer')),
+            on_answer=lambda: None,
         )
         self.dispatcher = Dispatcher(
             book=self.book,
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.book import JobBook, JobRun, StepRun
+from cyclamentrack.jobs.book import JobBook
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.layout import lay_out_each, lay_out_gang
 from cyclamentrack.jobs.model import StepName
@@ -57,6 +57,7 @@
             suspects=[one for one in present if now < one.suspect_until],
             urgent_queues=self._urgent_queues(),
             most_starts=most_starts,
+            free_lanes=self._permits.free_lanes(),
         )
         queued = self._in_order(now)
         state.contest(self._claims(queued, state))
@@ -105,37 +106,39 @@
 
     def _place_step(self, one: Ready, state: RoundState) -> None:
         step = one.step
-        policy = one.entry.queue.permits
-        if policy is not None and not self._permits.of(step.name).good:
-            return
         if state.starts_left <= 0:
             return
-        eligible = state.eligible(step)
-        if not eligible:
+        tasks = state.tasks_in_turn(one)
+        if not tasks and not step.step.gang:
+            return
+        allowed = self._allowed(one, state)
+        if not allowed:
             return
-        permit_of = self._permit_lookup(one.entry, step, state.now)
-        allowed = [
-            worker for worker in eligible if permit_of(worker) is not None
-        ]
         if step.step.gang:
             chosen = lay_out_gang(step, allowed, state.contested)
         else:
-            tasks = state.tasks_in_turn(one)[: state.starts_left]
+            tasks = tasks[: state.starts_left]
             chosen = lay_out_each(step, tasks, allowed, state.contested)
+        known = self._permits.of(step.name)
         for task, worker in chosen:
-            state.give(step, task, worker, permit_of(worker) or '')
+            permit = known.fresh(
+                worker.entry.id, now=state.now, life=worker.life
+            )
+            state.give(step, task, worker, permit)
 
-    def _permit_lookup(
-        self, entry: JobRun, step: StepRun, now: float
-    ) -> Callable[[Worker], str | None]:
-        if entry.queue.permits is None:
-            return lambda worker: ''
+    def _allowed(self, one: Ready, state: RoundState) -> list[Worker]:
+        """Return the workers with room that permits let run a step's tasks."""
+        step = one.step
+        if one.entry.queue.permits is None:
+            return state.eligible(step)
         known = self._permits.of(step.name)
-
-        def lookup(worker: Worker) -> str | None:
-            permit = known.fresh(worker.entry.id, now=now, life=worker.life)
-            if permit:
-                return permit
-            return None
-
-        return lookup
+        if known.none_fresh(state.now):
+            return []
+        workers = self._fleet.workers
+        fresh = [
+            name
+            for name in known.good
+            if name in workers
+            and known.fresh(name, now=state.now, life=workers[name].life)
+        ]
+        return state.eligible_among(step, fresh)
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -52,11 +52,16 @@
     bad: set[WorkerId] = msgspec.field(default_factory=set)
     asking: bool = False
     not_before: float = 0.0
+    fresh_until: float = 0.0
 
     def may_ask(self, now: float) -> bool:
         """Tell whether a call for the step would be made now."""
         return not self.asking and now >= self.not_before
 
+    def none_fresh(self, now: float) -> bool:
+        """Tell whether no permit can be good for a start any more."""
+        return not self.good or now > self.fresh_until - _USE_MARGIN_S
+
     def fresh(self, worker: WorkerId, *, now: float, life: int) -> str:
         """Return a permit that is still good for a start, or nothing."""
         granted = self.good.get(worker)
@@ -117,6 +122,10 @@
             self._steps[step] = known
         return known
 
+    def free_lanes(self) -> int:
+        """Return how many calls could begin now."""
+        return len(self._lanes()) - len(self._busy)
+
     def forget(self, step: StepName) -> None:
         """Drop what is known of a step that has ended."""
         self._steps.pop(step, None)
@@ -136,6 +145,7 @@
         if answer is None:
             known.not_before = now + _RETRY_PAUSE_S
             return
+        known.fresh_until = now + answer.valid_s
         for worker, permit in answer.granted.items():
             known.good[worker] = _Granted(
                 permit,
--- a/packages/cyclamentrack/cyclamentrack/jobs/rooms.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rooms.py
@@ -33,6 +33,21 @@
         )
         self._too_large: list[Resources] = []
 
+    def with_room_among(
+        self, step: Step, names: Iterable[WorkerId]
+    ) -> list[Worker]:
+        """Return those of some workers that have room for a task of a step."""
+        need = charge(step)
+        numbers = sorted(
+            self._numbers[name] for name in names if name in self._numbers
+        )
+        return [
+            self._workers[number]
+            for number in numbers
+            if need.fits(self._rooms[number])
+            and suits(step, self._workers[number])
+        ]
+
     def with_room(self, step: Step) -> list[Worker]:
         """Return the workers that have room for a task of a step."""
         need = charge(step)
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -19,8 +19,9 @@
 _KEPT_SHARE = 3
 # Steps for which a round looks at the ends that all workers expect.
 _PLANS = 16
-# Steps that a round wishes permits for; each lane takes one.
-_WISHES = 40
+# Steps that a round wishes permits for beyond one for each free lane, since
+# some calls are kept off some lanes.
+_SPARE_WISHES = 4
 # Room is kept for starts that are expected within this time, seconds.
 _HORIZON_S = 6.0
 # A job that has nothing running beside free room for 3 s counts as lost, and
@@ -93,8 +94,10 @@
         suspects: list[Worker],
         urgent_queues: bool,
         most_starts: int,
+        free_lanes: int,
     ) -> None:
         """Begin with all room open and nothing given."""
+        self._most_wishes = free_lanes + _SPARE_WISHES
         self.starts_left = most_starts
         whole = total(one.entry.capacity for one in usable)
         used = total(one.used for one in usable)
@@ -127,7 +130,7 @@
     @property
     def may_wish(self) -> bool:
         """Whether a call for one more step could get a lane this round."""
-        return len(self.outcome.wishes) < _WISHES
+        return len(self.outcome.wishes) < self._most_wishes
 
     @property
     def forecast(self) -> Forecast:
@@ -214,6 +217,19 @@
         self._eligible = (step, self.rooms.version, found)
         return found
 
+    def eligible_among(
+        self, step: StepRun, names: Iterable[WorkerId]
+    ) -> list[Worker]:
+        """Return those of some workers that ``eligible`` would return."""
+        among = set(names)
+        roomy = self.rooms.with_room_among(step.step, among)
+        found = [worker for worker in roomy if self.open_to(step, worker)]
+        if found or not self.neglected(step):
+            return found
+        return [
+            worker for worker in self.eligible(step) if worker.entry.id in among
+        ]
+
     def plannable(self, step: StepRun, *, keeps: bool) -> list[Worker]:
         """Return the workers that a step may wait for.
 
