Work out a worker's cost once for a step, until it takes a task

Each task of a step worked out the cost of each worker that could take it, though only that of the worker before it had changed.

--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -87,7 +87,6 @@
 class _Cost(msgspec.Struct, frozen=True, order=True, array_like=True):
     """Why a worker is worse than another; the first difference decides."""
 
-    failed_there: bool
     far: bool
     disturbed: bool
     contested: float
@@ -109,6 +108,7 @@
         self._step = step.step
         self._need = charge(step.step)
         self._free = {worker.entry.id: worker.free for worker in workers}
+        self._costs: dict[WorkerId, _Cost] = {}
         self._count: dict[WorkerId, int] = {}
         for placement in step.placed:
             self._add(placement.worker)
@@ -120,13 +120,17 @@
         fitting = [worker for worker in workers if self._fits(worker)]
         if not fitting:
             return None
-        return min(fitting, key=lambda worker: self._cost(worker, avoid))
+        return min(
+            fitting,
+            key=lambda worker: (worker.entry.id in avoid, self._cost(worker)),
+        )
 
     def take(self, worker: Worker) -> None:
         """Charge one task."""
         name = worker.entry.id
         left = self._free[name].minus(self._need)
         self._free[name] = NOTHING if worker.on_trial else left
+        self._costs.pop(name, None)
         self._add(name)
 
     def _add(self, worker: WorkerId) -> None:
@@ -138,14 +142,21 @@
             return False
         return self._need.fits(self._free[worker.entry.id])
 
-    def _cost(self, worker: Worker, avoid: set[WorkerId]) -> _Cost:
+    def _cost(self, worker: Worker) -> _Cost:
+        """Return a worker's cost, worked out anew once it took a task."""
+        known = self._costs.get(worker.entry.id)
+        if known is None:
+            known = self._reckon(worker)
+            self._costs[worker.entry.id] = known
+        return known
+
+    def _reckon(self, worker: Worker) -> _Cost:
         step = self._step
         far = bool(step.data_rack) and step.data_rack != worker.entry.rack
         disturbed = step.serving_target_ms > 0 and any(
             holding.fills for holding in worker.holdings.values()
         )
         return _Cost(
-            worker.entry.id in avoid,
             far,
             disturbed,
             self._contested.get(worker.entry.id, 0.0),
