Take no slice over before the configuration is read

A node that a leaving owner asked claimed its slice even if it had read no configuration yet. It would take all open jobs in with a default queue, without a permit policy and with one attempt, and keep that: in queues with permits their starts would be refused for good.

Claims of a node's own accord always waited for the configuration; those on request do now.

Evidence: "A node that has read no configuration yet takes no slice over" fails without the change.

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -170,6 +170,12 @@
     Then another node owns the pool
     And the slice was claimed 1 time
 
+  Scenario: A node that has read no configuration yet takes no slice over
+    Given the other nodes have read no configuration
+    When the owner leaves
+    And 0.5 seconds go by
+    Then no other node owns the pool
+
   Scenario: A lease that was released is not renewed any more
     Given the store turns all nodes away but the owner
     When the owner leaves
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -1,5 +1,6 @@
 """Steps about nodes that lose the store, and about nodes that leave."""
 
+import trio
 from behave import given, then, when
 
 from cyclamentrack.jobs.service import Kept
@@ -65,6 +66,20 @@
     assert len(context.renewals) <= times, len(context.renewals)
 
 
+@given('the other nodes have read no configuration')
+def forget_configuration(context):
+    world = context.jobs
+    for name, cell in world.cells.items():
+        if name != world.owner():
+            cell.configured = trio.Event()
+            cell.configuration = None
+
+
+@then('no other node owns the pool')
+def check_unowned(context):
+    assert context.jobs.owner() in {None, context.former}
+
+
 @when('the owner leaves')
 def leave_owner(context):
     world = _world(context)
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -160,9 +160,11 @@
 
     async def take_over(self, pool: PoolName, claim: str) -> bool:
         """Claim a slice whose owner can't reach the store and says so."""
+        if self.leaving or not self.configured.is_set():
+            return False
         seen = self.board.seen.get(pool)
         known = seen is not None and seen.lease.claim == claim
-        if self.leaving or not known or self.board.blind or not self._nursery:
+        if not known or self.board.blind or not self._nursery:
             return False
         await self._claim(pool, self._nursery)
         return pool in self.owners
