--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -182,7 +182,9 @@
 
     async def take_over(self, pool: PoolName, claim: str) -> bool:
         """Claim a slice whose owner can't reach the store and says so."""
-        if self.leaving or self.board.blind or not self._nursery:
+        if self.leaving or not self.configured.is_set():
+            return False
+        if self.board.blind or not self._nursery:
             return False
         try:
             await self.board.refresh(pool)
