Hold the workers while an owner still reads its jobs

Cause: an owner reads its whole book before it holds a worker, so one part of the jobs that isn't answered let all leases end. No peer could do better, so the slice stays where it is.

From 1 s on the owner extends its workers' leases every 2 s until the book is read; a look needs no book. What is judged by the end of a lease counts from the last extension. The scenario failed before: each of four tasks was started twice.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -126,3 +126,15 @@
     When the owner is killed
     And 5 seconds go by
     Then the last node tells that 1 job waits
+
+  Scenario: What runs outlives a recovery that waits for the jobs' rows
+    When a job of the steps "4" of 12 seconds is submitted
+    And 1 second goes by
+    And the owner is killed
+    And the store leaves the jobs unanswered
+    And 9 seconds go by
+    And the store answers for all rows
+    And 20 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+    And each of its tasks was started 1 time at most
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -13,7 +13,7 @@
 import trio
 
 from cyclamentrack.codec import encode
-from cyclamentrack.ids import PoolName
+from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.book import (
     Closed,
     JobBook,
@@ -23,6 +23,7 @@
     StepRun,
     TaskRun,
 )
+from cyclamentrack.jobs.bridging import RecoveryHold
 from cyclamentrack.jobs.dispatch import Assignment, Dispatcher, Round
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
@@ -97,6 +98,8 @@
         self.tuning = parts.tuning
         self.orders = parts.orders
         self.recovered = trio.Event()
+        # When leases were last extended before the jobs were known.
+        self.held_at: dict[WorkerId, float] = {}
         self.intake = JobIntake(owner=self, parts=parts)
         self._parts = parts
         self._store = parts.store
@@ -126,7 +129,11 @@
             launcher = Launcher(owner=self, nursery=nursery)
             intake = self.intake
             roster = WorkerRoster(owner=self, parts=self._parts)
-            jobs_version = await intake.recover()
+            async with trio.open_nursery() as recovery:
+                hold = RecoveryHold(owner=self, parts=self._parts)
+                recovery.start_soon(hold.run)
+                jobs_version = await intake.recover()
+                recovery.cancel_scope.cancel()
             nursery.start_soon(intake.follow, jobs_version)
             nursery.start_soon(roster.follow)
             nursery.start_soon(roster.settle_unlisted)
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -72,7 +72,9 @@
     async def settle_unlisted(self) -> None:
         """Give up runs whose worker wasn't listed since before the claim."""
         lease = self._owner.tuning.worker_lease_s * _CLOCK_SLACK
-        settled_at = self._owner.claim.claimed_at + lease + _FORMER_OWNER_S
+        held_at = self._owner.held_at.values()
+        ordered_at = max((self._owner.claim.claimed_at, *held_at))
+        settled_at = ordered_at + lease + _FORMER_OWNER_S
         await trio.sleep_until(settled_at)
         await self._listed.wait()
         for placement in list(placements(self._owner.book)):
@@ -107,7 +109,10 @@
 
     def _adopt(self, worker: Worker) -> None:
         """Charge a worker's recorded runs and begin to hold it."""
-        worker.ordered_at = self._owner.claim.claimed_at + _FORMER_OWNER_S
+        worker.ordered_at = max(
+            self._owner.claim.claimed_at + _FORMER_OWNER_S,
+            self._owner.held_at.get(worker.entry.id, 0.0),
+        )
         for placement in placements(self._owner.book):
             if placement.worker == worker.entry.id:
                 step = self._owner.book.step_of(placement.task)
