Check that runs held during a recovery never start beside themselves

Workers that fall silent after such a look, listed or not, keep their runs until the lease that it gave has ended. Both scenarios fail when the extension isn't counted; they pass on the code as it is.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -138,3 +138,21 @@
     Then the job is shown as "completed" by every node
     And the workers' record is clean
     And each of its tasks was started 1 time at most
+
+  Scenario Outline: Runs held during a recovery never start beside themselves
+    When a job of the steps "4" of 14 seconds is submitted
+    And 1 second goes by
+    And the owner is killed
+    And the store leaves the jobs unanswered
+    And 8 seconds go by
+    And <trouble>
+    And 1 second goes by
+    And the store answers for all rows
+    And 40 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+    Examples:
+      | trouble                                            |
+      | every worker but one falls silent                  |
+      | every worker but one falls silent and off the list |
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -33,3 +33,12 @@
 @then('the release before reads no job waiting from it')
 def check_former_release(context):
     assert decode(context.encoded, _LeaseBefore).waiting == {}
+
+
+@when('every worker but one falls silent and off the list')
+def lose_workers(context):
+    workers = context.jobs.workers.workers
+    for number, worker in enumerate(list(workers.values())):
+        worker.silent = number > 0
+        if worker.silent:
+            context.jobs.drop_worker_entry(number)
