--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -1,10 +1,16 @@
 """Steps about a store that leaves some rows unanswered."""
 
 import msgspec
+import trio
 from behave import given, step, then, when
 
+from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName
-from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts
+from cyclamentrack.jobs.book import placements
+from cyclamentrack.jobs.model import Job, JobId, QueueName, TaskName
+from cyclamentrack.jobs.ports import RowKey
+from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts, job_key
+from cyclamentrack.jobs.service import Kept
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import Front
 from features.harness.asgi import call_app
@@ -98,3 +104,117 @@
 def check_count(context, count):
     reply = _count(context, list(_world(context).cells)[-1])
     assert reply.json() == {'Waiting': count}, (reply.status, reply.body)
+
+
+@when('the owner of "{name}" is killed')
+def kill_owner_of(context, name):
+    world = _world(context)
+    for node, cell in list(world.cells.items()):
+        if PoolName(name) in cell.owners:
+            world.kill_node(node)
+
+
+@when('every node loses the history of the store')
+def lose_history(context):
+    rows = _world(context).rows
+
+    async def lose():
+        for _ in range(15):
+            rows.put(RowKey('other', '', 'key'), b'')
+            rows.drop_history()
+            await trio.sleep(0.1)
+
+    _world(context).loop.run(lose)
+
+
+@given('a larger worker whose entry has lapsed')
+def lapse_larger(context):
+    world = _world(context)
+    world.add_worker(9, cores=64)
+    world.loop.sleep(2)
+    world.drop_worker_entry(9)
+    world.loop.sleep(1)
+
+
+@then('a job that needs the larger worker is {kept}')
+def check_larger(context, kept):
+    found = _world(context).submit(make_step(1, cores=32))
+    assert found[1] is Kept(kept), found
+
+
+@given("the list of workers can't be read")
+def silence_workers(context):
+    _world(context).rows.silent_scans.add(('servers', ''))
+
+
+@when('the list of workers can be read')
+def answer_workers(context):
+    _world(context).rows.silent_scans.clear()
+
+
+@then('its runs are not given up')
+def check_adopted(context):
+    world = _world(context)
+    book = world.cells[world.owner()].owners[POOL].book
+    assert len(list(placements(book))) == 4
+
+
+@given('{count:d} workers that differ, the last one larger')
+def add_unlike_workers(context, count):
+    world = _world(context)
+    for number in range(count):
+        world.add_worker(100 + 3 * number)
+    world.add_worker(9, cores=64)
+    world.loop.sleep(2)
+
+
+@given('one node owns both pools')
+def own_both(context):
+    world = _world(context)
+    others = [name for name in world.cells if name != world.owner()]
+    for name in others:
+        world.kill_node(name)
+    world.loop.sleep(5)
+    for name in others:
+        world.start_node(name)
+    world.loop.sleep(2)
+    assert len(world.cells[world.owner()].owners) == 2
+
+
+@then('another node owns the pool "{name}"')
+def check_other_owner(context, name):
+    cells = _world(context).cells
+    owners = {node for node in cells if PoolName(name) in cells[node].owners}
+    assert owners - {context.former}, owners
+
+
+@given('the store leaves the jobs of the first digit unanswered')
+def silence_digit(context):
+    _world(context).rows.silent_parts.add(all_jobs_parts(POOL)[0])
+
+
+@when('a node keeps a job and dies')
+def keep_untold(context):
+    world = _world(context)
+    context.job = JobId('7000000000000001')
+
+    async def keep():
+        job = Job(
+            id=context.job,
+            queue=QueueName('lookups'),
+            pool=POOL,
+            payload='x',
+            steps=(make_step(1),),
+            accepted_at_s=trio.current_time(),
+        )
+        world.rows.put(job_key(POOL, job.id), encode(job))
+
+    world.loop.run(keep)
+
+
+@given('every worker refuses the first job')
+def refuse_first_job(context):
+    for worker in _world(context).workers.workers.values():
+        for index in range(2):
+            task = TaskName(JobId('0000000000000001'), 0, 0, index)
+            worker.sealed[task] = 1_000_000
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -21,13 +21,13 @@
 _PART_MARK = '/'
 
 
-class Lease(msgspec.Struct, frozen=True, kw_only=True):
+class Lease(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Who owns a slice; renewed while its owner lives.
 
     ``released`` says that the owner has handed the slice over. ``waiting``
     counts by queue the jobs of which no task has started, ``None`` until the
-    owner has recovered; ``shapes`` are those of all workers that the pool has
-    had.
+    owner has recovered; ``shapes`` are those of the workers that the pool has
+    had, ``MAX_SHAPES`` at most.
     """
 
     node: str
--- a/packages/cyclamentrack/cyclamentrack/jobs/roster.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/roster.py
@@ -47,6 +47,7 @@
         self._parts = parts
         self._store = parts.store
         self._greeting = trio.CapacityLimiter(_GREETINGS)
+        self._listed = trio.Event()
 
     async def follow(self) -> None:
         """Follow the list until cancelled."""
@@ -74,8 +75,11 @@
     async def settle_unlisted(self) -> None:
         """Give up runs whose worker wasn't listed since before the claim."""
         lease = self._owner.tuning.worker_lease_s * _CLOCK_SLACK
-        settled_at = self._owner.claim.claimed_at + lease + _FORMER_OWNER_S
+        held_at = self._owner.held_at.values()
+        ordered_at = max((self._owner.claim.claimed_at, *held_at))
+        settled_at = ordered_at + lease + _FORMER_OWNER_S
         await trio.sleep_until(settled_at)
+        await self._listed.wait()
         for placement in list(placements(self._owner.book)):
             if placement.worker not in self._owner.fleet.workers:
                 self._owner.run_lost(placement, why='its worker is not listed')
@@ -87,6 +91,7 @@
                 self._owner.fleet.lose(worker)
         self._take_rows(rows)
         self._owner.book.see_room(self._owner.fleet.room)
+        self._listed.set()
 
     def _take_workers(self, changes: Changes) -> None:
         for key in changes.removed:
@@ -115,7 +120,10 @@
 
     def _adopt(self, worker: Worker, recorded: list[Placement]) -> None:
         """Charge a worker's recorded runs and begin to hold it."""
-        worker.ordered_at = self._owner.claim.claimed_at + _FORMER_OWNER_S
+        worker.ordered_at = max(
+            self._owner.claim.claimed_at + _FORMER_OWNER_S,
+            self._owner.held_at.get(worker.entry.id, 0.0),
+        )
         for placement in recorded:
             step = self._owner.book.step_of(placement.task)
             if step is not None:
