Ask for no permits anew while starts have to wait

A step whose tasks wait only because enough starts are under way has fresh permits, yet it wished for others, which cost the service a call and a lane. The new scenario failed before: two such steps wished in one round.

--- a/features/decisions/rounds.feature
+++ b/features/decisions/rounds.feature
@@ -27,6 +27,12 @@
     When a job of 400 small tasks is submitted and watched to its end
     Then at most 64 starts were under way at a time
 
+  Scenario: A step whose starts must wait asks for no permits anew
+    Given a full pool of 40 workers and 20 jobs
+    When 1 rounds are played
+    And a round may start nothing
+    Then no step with fresh permits wishes for others
+
   Scenario: Silent workers hold up no starts elsewhere
     Given a job cell of 1 nodes and 20 workers
     When the first 15 workers fall silent
--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -22,6 +22,7 @@
     Queue,
     QueueName,
     Step,
+    StepName,
     WorkerEntry,
     WorkerState,
 )
@@ -96,6 +97,8 @@
     ) -> None:
         """Hand in the jobs; nothing runs before the first round."""
         self.now = 100.0
+        self.most_starts = 1000
+        self.wished: list[StepName] = []
         self.placed = 0
         self.ended = 0
         self.log: list[tuple[str, str]] = []
@@ -141,7 +144,8 @@
 
     def decide(self) -> int:
         """Decide one round, and return how many tasks it placed."""
-        outcome = self.dispatcher.decide(self.now, most_starts=1000)
+        outcome = self.dispatcher.decide(self.now, most_starts=self.most_starts)
+        self.wished = [wish.step.name for wish in outcome.wishes]
         for given in outcome.assignments:
             self._place(given.task, given.worker.entry.id, given.permit)
         for wish in outcome.wishes[:_CALLS]:
--- a/features/steps/round_steps.py
+++ b/features/steps/round_steps.py
@@ -86,6 +86,25 @@
     context.pools[0].play(rounds)
 
 
+@when('a round may start nothing')
+def bar_starts(context):
+    pool = context.pools[0]
+    context.fresh = {
+        name
+        for name in pool.book.open_steps
+        if not pool.permits.of(name).none_fresh(pool.now)
+    }
+    assert context.fresh
+    pool.most_starts = 0
+    pool.play(1)
+
+
+@then('no step with fresh permits wishes for others')
+def check_wished(context):
+    again = context.fresh.intersection(context.pools[0].wished)
+    assert not again, again
+
+
 @then('the index of free rooms finds the same workers as a search')
 def check_index(context):
     pool = context.pools[0]
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -78,6 +78,8 @@
         known = self._permits.of(step.name)
         if not known.may_ask(state.now) or not state.may_wish:
             return
+        if state.starts_left <= 0 and not known.none_fresh(state.now):
+            return
         wanted = [
             worker
             for worker in state.eligible(step)
