Ask for the workers that a gang's first permit call did not name

A call names 30 workers at most. Where some of them were good, but too few to hold the gang, no other worker was asked for any more: only workers known to be good were planned for, none could start, so no permit was due, and the call for unknown workers was made only while no good one was known.

A step with no possible start asks for the unknown workers too, until all are known.

--- a/features/decisions/decisions.feature
+++ b/features/decisions/decisions.feature
@@ -18,6 +18,14 @@
     Then all tasks of the last job have started
     And the workers' record is clean
 
+  Scenario: A gang for which too few good workers were named asks for others
+    Given a pool of 40 workers with urgent and patient queues
+    And the next job may run on 2 of the first 30 workers and on 3 others
+    When a gang of 5 tasks of a whole worker each is submitted
+    And 4 seconds go by
+    Then all tasks of the last job have started
+    And the permit service was called 4 times at most
+
   Scenario: A worker that fails all that it starts is left alone
     Given a pool of 4 workers with urgent and patient queues
     And the first worker fails all that it starts
--- /dev/null
+++ b/features/steps/gang_steps.py
@@ -0,0 +1,21 @@
+"""Steps about gangs that few workers may run."""
+
+from behave import given, when
+
+from cyclamentrack.jobs.model import JobId
+from features.harness.jobworld import make_step
+
+
+@given('the next job may run on 2 of the first 30 workers and on 3 others')
+def permit_few(context):
+    job = JobId(f'{len(context.submitted) + 1:016x}')
+    names = sorted(context.jobs.workers.workers)
+    good = {*names[:2], *names[30:33]}
+    context.jobs.advisor.good[job] = good
+
+
+@when('a gang of {count:d} tasks of a whole worker each is submitted')
+def submit_wide_gang(context, count):
+    step = make_step(count, gang=True, cores=14)
+    context.job = context.jobs.submit(step, queue='gangs', work_s=1.0)[0]
+    context.submitted.append(context.job)
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -123,7 +123,8 @@
                 worker.entry.id, now=state.now, life=worker.life
             )
         ]
-        if known.good and not due:
+        found = bool(known.good and plan.starts)
+        if found and not due:
             return
         unknown = self._unknown(step, state)
         if due or unknown:
