--- a/features/decisions/rounds.feature
+++ b/features/decisions/rounds.feature
@@ -44,7 +44,7 @@
     And each round takes 0.1 seconds
     And 2 seconds go by
     When a job of 200 small tasks is submitted and watched to its end
-    Then at most 8 starts were under way at a time
+    Then at most 16 starts were under way at a time
     When rounds take no time for 3 seconds
     And a job of 400 small tasks is submitted and watched to its end
     Then at most 64 starts were under way at a time
--- a/packages/cyclamentrack/cyclamentrack/jobs/strain.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/strain.py
@@ -26,10 +26,10 @@
 # Starts that may be under way at a time. Each is answered within a quarter of
 # a second, which covers several passes of the loop.
 _MOST_STARTS = 64
-_FEWEST_STARTS = 8
+_FEWEST_STARTS = 16
 _MORE_STARTS = 2
 # A loop that is later than this has too much under way.
-_BUSY_LAG_S = 0.03
+_BUSY_LAG_S = 0.06
 # An owner that lags by so much answers later than its peers expect.
 _LAGS_S = 0.1
 _LOG_GAP_S = 1.0
