Leave a step without a wish once a round has enough of them

The measurement sets the collector up as the platform's process does, since its pauses were most of the p99.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -7,6 +7,7 @@
 import time
 
 from bench.report import Report, percentile
+from cyclamentrack_platform.__main__ import set_up_collector
 from features.harness.fullpool import FullPool
 
 _WORKERS = (20, 126, 250)
@@ -21,7 +22,8 @@
 
 
 def measure() -> Report:
-    """Measure all sizes."""
+    """Measure all sizes, with the collector set up as on the platform."""
+    set_up_collector()
     report = Report(
         name='rounds',
         headings=[
--- a/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wishes.py
@@ -67,16 +67,18 @@
         """Ask for permits on workers that have room for what is left."""
         entry = ready.entry
         step = ready.step
+        if entry.queue.permits is None or not state.may_wish:
+            return
         left = [
             task
             for task in state.tasks_in_turn(ready)
             if task.name not in state.given
         ]
-        if entry.queue.permits is None or not left:
+        if not left:
             return
         room_left = state.neglected(step) or state.demand.admit(step, len(left))
         known = self._permits.of(step.name)
-        if not known.may_ask(state.now) or not state.may_wish:
+        if not known.may_ask(state.now):
             return
         if state.starts_left <= 0 and not known.none_fresh(state.now):
             return
