Judge a stopped run by the first answered stop, not by the last

Stops repeat each 0.4 s and each answer moved stop_heard_at, while looks at a pool of 126 workers now wait 1.05 s: a look is nearly always older than the last answer. The first answered stop seals a run, so any look after it is telling.

Not reproduced by a test: a scenario with three unanswered starts on the paused clock passed before too, since ends cut the looks short.

--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -165,7 +165,8 @@
                     placement.worker,
                 )
             else:
-                placement.stop_heard_at = trio.current_time()
+                if not placement.stop_heard_at:
+                    placement.stop_heard_at = trio.current_time()
         await trio.sleep(_STOP_REPEAT_S)
 
 
