--- a/features/jobs/looks.feature
+++ b/features/jobs/looks.feature
@@ -17,3 +17,9 @@
     When the owner is killed
     And 5 seconds go by
     Then 16 first looks at most were under way together
+
+  Scenario: A stopped run that its worker never began is given up in a large pool
+    Given the first worker leaves its starts unanswered
+    When a job that only the first worker may run is submitted
+    And 7 seconds go by
+    Then the job is shown as "completed" by every node
--- a/features/steps/look_steps.py
+++ b/features/steps/look_steps.py
@@ -1,6 +1,8 @@
 """Steps about looks at workers."""
 
-from behave import given, then
+from behave import given, then, when
+
+from features.harness.jobworld import make_step
 
 
 def _recent(context, seconds):
@@ -39,3 +41,10 @@
     ]
     assert len(together) >= 2 * len(context.jobs.workers.workers)
     assert max(together) <= count, max(together)
+
+
+@when('a job that only the first worker may run is submitted')
+def submit_for_first(context):
+    world = context.jobs
+    world.advisor.good[world.next_job] = {next(iter(world.workers.workers))}
+    context.job = world.submit(make_step())[0]
