Forecast the end of a run from its progress as of its report

Gangs and large tasks started late or not at all beside a flow of small tasks. A run's remaining time was extrapolated from the time elapsed now and the percentage that was last reported, which is up to a poll old. So the expected end moved away while no report came, other steps filled the kept capacity, and the gang missed its start. Now the elapsed time is taken as of the report; a resumed run is measured by its estimate, since its earlier work isn't known.

The fault was hidden because the permit stand-in served all nodes one after the other. The users' service does that for each calling node, and so does the stand-in now.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -70,6 +70,7 @@
         self.workers = MemoryWorkers()
         self.permit_service = MemoryPermitService(decide_s=0.02, valid_s=2.0)
         self.services = {}
+        self.permit_clients = {}
         self.cells = {}
         self.scopes = {}
         self.queues = {}
@@ -211,6 +212,7 @@
         )
 
     async def _start_node(self, name, capacity):
+        self.permit_clients[name] = self.permit_service.for_node()
         cell = JobCell(
             me=Member(
                 node=name, incarnation='1', address=name, zone='z', **capacity
@@ -218,7 +220,7 @@
             dependencies=CellDependencies(
                 store=self.rows.client(name),
                 orders=self.workers.orders(),
-                permit_service=self.permit_service,
+                permit_service=self.permit_clients[name],
                 entry_decoder=_EntryDecoder(),
                 tables=_TABLES,
                 timings=Timings(
@@ -244,16 +246,24 @@
 
 
 def make_queue(
-    name, *, priority=0, attempts=3, permits=None, pool=POOL, stretch=1.5
+    name,
+    *,
+    priority=0,
+    attempts=3,
+    permits=None,
+    each_s=0.0,
+    valid_s=2.0,
+    pool=POOL,
+    stretch=1.5,
 ):
     """Return a queue of a pool.
 
     With ``permits`` its tasks need permits, and that is the expected duration
-    of a permit request in seconds.
+    of a permit request in seconds, without ``each_s`` for each worker named.
     """
     policy = None
     if permits is not None:
-        policy = PermitPolicy(decide_s=permits, each_s=0.0, valid_s=2.0)
+        policy = PermitPolicy(decide_s=permits, each_s=each_s, valid_s=valid_s)
     return Queue(
         name=QueueName(name),
         host='h',
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -402,34 +402,66 @@
 
 
 class MemoryPermitService:
-    """Grants permits, one call at a time, and records the calls."""
+    """Grants permits and records the calls.
 
-    def __init__(self, *, decide_s: float, valid_s: float) -> None:
-        """Take ``decide_s`` a call; permits are valid for ``valid_s``."""
+    It handles one call at a time for each node; ``for_node`` returns the
+    client of one.
+    """
+
+    def __init__(
+        self, *, decide_s: float, valid_s: float, each_s: float = 0.0
+    ) -> None:
+        """Take ``decide_s`` a call and ``each_s`` for each worker named.
+
+        Permits are valid for ``valid_s``.
+        """
         self.calls: list[StepName] = []
         self.permitted: dict[str, set[WorkerId]] = {}
         self.refuses_all = False
-        self._decide_s = decide_s
+        self.decide_s = decide_s
+        self.each_s = each_s
         self.valid_s = valid_s
+
+    def for_node(self) -> 'MemoryPermitClient':
+        """Return a client whose calls wait for one another only."""
+        return MemoryPermitClient(service=self)
+
+    def answer(self, step: StepName, workers: Sequence[WorkerId]) -> Permits:
+        """Grant permits for the permitted workers, by default for all."""
+        permitted = self.permitted.get(step.job, set(workers))
+        if self.refuses_all:
+            permitted = set()
+        return Permits(
+            granted={
+                one: f'{one}/permit' for one in workers if one in permitted
+            },
+            valid_s=self.valid_s,
+        )
+
+
+class MemoryPermitClient:
+    """The permit service as one node calls it."""
+
+    def __init__(self, *, service: MemoryPermitService) -> None:
+        """Call one service; ``unanswered`` calls get no answer."""
+        self.unanswered = False
+        self._service = service
         self._lock = trio.Lock()
 
     async def request_permits(
         self, *, step: StepName, workers: Sequence[WorkerId], timeout_s: float
     ) -> Permits | None:
-        """Grant permits for the permitted workers, by default for all."""
+        """Return the permits, or ``None`` if the timeout passes first."""
+        service = self._service
         with trio.move_on_after(timeout_s):
+            if self.unanswered:
+                await trio.sleep_forever()
             async with self._lock:
-                self.calls.append(step)
-                await trio.sleep(self._decide_s)
-            permitted = self.permitted.get(step.job, set(workers))
-            if self.refuses_all:
-                permitted = set()
-            return Permits(
-                granted={
-                    one: f'{one}/permit' for one in workers if one in permitted
-                },
-                valid_s=self.valid_s,
-            )
+                service.calls.append(step)
+                await trio.sleep(
+                    service.decide_s + service.each_s * len(workers)
+                )
+            return service.answer(step, workers)
         return None
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -160,19 +160,21 @@
 ) -> float:
     """Return the steady time at which a run will probably end.
 
-    It is extrapolated from the run's progress, or from the estimate while
-    there is too little progress.
+    It is extrapolated from the progress that was last reported, as of then, or
+    from the estimate while there is too little progress. The time for which a
+    resumed run has worked in all isn't known.
     """
     if step.lasting:
         return _NEVER
     began = placement.confirmed_at or placement.since
-    elapsed_s = now - began
-    if placement.percent >= _MIN_PERCENT and elapsed_s > 0:
-        remaining_s = (
-            elapsed_s * (_PERCENT - placement.percent) / placement.percent
-        )
-        return now + remaining_s
-    expected = step.estimate_s * slowness
-    if elapsed_s > expected:
-        return now + _OVERTIME_SHARE * expected
-    return began + expected
+    expected_s = step.estimate_s * slowness
+    end = began + expected_s
+    measured_s = placement.progressed_at - began
+    if placement.resumed and placement.percent:
+        left = (_PERCENT - placement.percent) / _PERCENT
+        end = placement.progressed_at + left * expected_s
+    elif placement.percent >= _MIN_PERCENT and measured_s > 0:
+        end = began + measured_s * _PERCENT / placement.percent
+    if end < now:
+        return now + _OVERTIME_SHARE * expected_s
+    return end
