Request the permits of a gang as one set over several routes

A gang that needed workers of several calls renewed those that had expired and lost the others meanwhile.

A gang's workers are now named at the same time, by calls over up to half of the permit routes, with up to 100 workers in one call where routes are few. The set is renewed as a whole once a part of it would expire before the answer. A route that gave no answer is avoided for 6 s, and its call isn't repeated on the owner's own route any more, where it delayed short calls.

features/decisions/permits.feature failed before in "A gang whose workers don't fit in one permit call starts" and "A gang on one permit route only names up to 100 workers at once" (nothing started in 4 s).

--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -256,6 +256,7 @@
                 worker.entry.id: worker.incarnation
                 for worker in request.workers
             },
+            together=request.together,
         )
         known = self.permits.of(request.step.name)
         granted = {
--- a/features/steps/round_steps.py
+++ b/features/steps/round_steps.py
@@ -129,7 +129,7 @@
 def make_empty_pool(context, workers, jobs):
     pool = FullPool(workers=workers, jobs=jobs)
     for name in pool.registry.open_steps:
-        pool.permits.of(name).call_pending = True
+        pool.permits.of(name).calls_pending = 1
     context.pools = [pool]
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -249,8 +249,9 @@
                     message=message,
                     timeout_s=timeout_s + _PEER_MARGIN_S,
                 )
-            except PeerUnreachableError:
-                return await self.request_permits(step, workers, timeout_s)
+            except PeerUnreachableError as error:
+                _log.info('permit route failed: %s', error)
+                return None
             match reply:
                 case PermitsReply(answered=True):
                     return Permits(granted=reply.granted, valid_s=reply.valid_s)
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -416,6 +416,7 @@
                         for worker in request.workers
                     },
                     ahead=request.ahead,
+                    together=request.together,
                 )
                 for request in outcome.permit_requests
                 if request.entry.queue.permits is not None
--- a/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
@@ -9,8 +9,13 @@
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import StartPlan
 from cyclamentrack.jobs.layout import is_compatible, with_free_capacity
+from cyclamentrack.jobs.model import PermitPolicy
 from cyclamentrack.jobs.order import ReadyStep
-from cyclamentrack.jobs.permits import PermitCache, StepPermits
+from cyclamentrack.jobs.permits import (
+    MAX_NAMED,
+    PermitCache,
+    StepPermits,
+)
 from cyclamentrack.jobs.registry import JobRun, StepRun
 from cyclamentrack.jobs.rounds import PermitRequest, RoundState
 
@@ -120,15 +125,7 @@
         if policy is None:
             return
         known = self._permits.of(step.name)
-        soon = state.now + policy.decide_s + _PERMIT_LEAD_S
-        due = [
-            worker
-            for worker in candidates
-            if plan.starts.get(worker.entry.id, _NEVER) <= soon
-            and not known.fresh_permit(
-                worker.entry.id, now=state.now, incarnation=worker.incarnation
-            )
-        ]
+        due = _due_for_plan(policy, known, plan, candidates, step, state)
         fitting = [
             worker
             for worker in _with_free_capacity(step, state)
@@ -191,6 +188,40 @@
             )
 
 
+def _due_for_plan(
+    policy: PermitPolicy,
+    known: StepPermits,
+    plan: StartPlan,
+    candidates: list[Worker],
+    step: StepRun,
+    state: RoundState,
+) -> list[Worker]:
+    """Return the plan's workers that need a permit for their start soon.
+
+    A gang's permits are renewed as a set, once some of them would expire
+    before the answer or the planned start. If only those were renewed, others
+    would expire meanwhile, and the gang would never start.
+    """
+    call_s = policy.decide_s
+    if step.step.gang:
+        call_s += policy.each_s * min(len(plan.starts), MAX_NAMED)
+    soon = state.now + call_s + _PERMIT_LEAD_S
+    planned = [
+        worker
+        for worker in candidates
+        if plan.starts.get(worker.entry.id, _NEVER) <= soon
+    ]
+    needed_at = soon if step.step.gang else state.now
+    stale = [
+        worker
+        for worker in planned
+        if not known.fresh_permit(
+            worker.entry.id, now=needed_at, incarnation=worker.incarnation
+        )
+    ]
+    return planned if stale and step.step.gang else stale
+
+
 def _with_free_capacity(step: StepRun, state: RoundState) -> list[Worker]:
     found = state.capacity_index.with_free_capacity(step.step)
     if state.neglected(step):
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -6,9 +6,14 @@
 outdated call is queued. Long calls avoid the owner's own route while its pool
 has queues with short ones, so that a quick lookup never waits behind a gang's
 decision.
+
+A gang needs valid permits for all of its workers at the same time. Its workers
+are therefore named at the same time, by calls over several routes: one call
+after the other would outlast the first one's permits.
 """
 
 import logging
+import math
 from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
@@ -22,6 +27,8 @@
 
 # A job's objective allows for one call that names 30 workers.
 MAX_NAMED = 30
+# The permit service accepts this many workers in one call.
+_MAX_NAMED_TOGETHER = 100
 # A permit must stay valid while the placement is committed and the worker is
 # ordered to start the task.
 _USE_MARGIN_S = 0.15
@@ -30,6 +37,9 @@
 # A route carries one call at a time, so a call this late is given up.
 _CALL_SLACK_S = 0.6
 _RETRY_PAUSE_S = 0.3
+# A route without an answer is avoided for this long while others are free: its
+# node is probably down or cut off, and each call to it costs a whole timeout.
+_AVOID_ROUTE_S = 6.0
 # If no worker may run a step, refused workers are requested again after this.
 _NONE_PERMITTED_PAUSE_S = 8.0
 
@@ -55,13 +65,13 @@
 
     permitted: dict[WorkerId, _Granted] = msgspec.field(default_factory=dict)
     refused: dict[WorkerId, _Refused] = msgspec.field(default_factory=dict)
-    call_pending: bool = False
+    calls_pending: int = 0
     not_before: float = 0.0
     fresh_until: float = 0.0
 
     def may_call(self, now: float) -> bool:
         """Return whether a call for the step may be made now."""
-        return not self.call_pending and now >= self.not_before
+        return not self.calls_pending and now >= self.not_before
 
     def none_fresh(self, now: float) -> bool:
         """Return whether no permit can be valid long enough for a start."""
@@ -114,24 +124,49 @@
 
     ``workers`` maps each worker to its incarnation, since a permit ends with
     it. A call that is ``ahead`` of its need is made after all others, and
-    only if another route stays free.
+    only if another route stays free. The permits for workers that are named
+    ``together`` are of no use one by one.
     """
 
     step: StepName
     policy: PermitPolicy
     workers: dict[WorkerId, int]
     ahead: bool = False
+    together: bool = False
 
     @property
     def named(self) -> list[WorkerId]:
         """The workers that the call names."""
-        return list(self.workers)[:MAX_NAMED]
+        limit = _MAX_NAMED_TOGETHER if self.together else MAX_NAMED
+        return list(self.workers)[:limit]
 
     @property
     def cost_s(self) -> float:
         """How long the service takes to answer."""
         return self.policy.decide_s + self.policy.each_s * len(self.named)
 
+    def split(self, routes: int) -> list['PermitCall']:
+        """Return the calls that name the workers over some free routes.
+
+        Workers that are named together are spread evenly over as few routes as
+        name no more than ``MAX_NAMED`` each, others take one route.
+        """
+        if not self.together:
+            return [self]
+        names = list(self.workers)[: routes * _MAX_NAMED_TOGETHER]
+        count = min(routes, math.ceil(len(names) / MAX_NAMED))
+        size = math.ceil(len(names) / max(count, 1))
+        return [
+            msgspec.structs.replace(
+                self,
+                workers={
+                    name: self.workers[name]
+                    for name in names[start : start + size]
+                },
+            )
+            for start in range(0, len(names), max(size, 1))
+        ]
+
 
 class PermitCache:
     """Permits of all steps; calls the permit service over the routes."""
@@ -149,6 +184,7 @@
         self._on_answer = on_answer
         self._steps: dict[StepName, StepPermits] = {}
         self._busy: set[str] = set()
+        self._avoided_until: dict[str, float] = {}
         self._calls: list[PermitCall] = []
         self._keep_own_short = False
 
@@ -181,7 +217,7 @@
     ) -> None:
         """Record the answer to a call; ``None`` if there was none."""
         known = self.of(call.step)
-        known.call_pending = False
+        known.calls_pending = max(known.calls_pending - 1, 0)
         if answer is None:
             known.not_before = now + _RETRY_PAUSE_S
             return
@@ -199,31 +235,50 @@
             known = self.of(call.step)
             if not known.may_call(now):
                 continue
-            route_name = self._free_route(permit_routes, call)
-            if route_name is None:
+            free = self._free_routes(permit_routes, call, now)
+            if not free:
                 continue
             if call.ahead and len(permit_routes) - len(self._busy) <= 1:
                 return
-            known.call_pending = True
-            self._busy.add(route_name)
-            self._nursery.start_soon(
-                self._ask, call, route_name, permit_routes[route_name]
-            )
+            # The other half is left to the steps that follow.
+            most = min(len(free), math.ceil(len(permit_routes) / 2))
+            for part, route_name in zip(call.split(most), free, strict=False):
+                known.calls_pending += 1
+                self._busy.add(route_name)
+                self._nursery.start_soon(
+                    self._ask, part, route_name, permit_routes[route_name]
+                )
 
-    def _free_route(
-        self, permit_routes: dict[str, PermitRoute], call: PermitCall
-    ) -> str | None:
-        short = call.cost_s <= SHORT_CALL_S
-        others = sorted(
-            route_name for route_name in permit_routes if route_name
+    def _free_routes(
+        self,
+        permit_routes: dict[str, PermitRoute],
+        call: PermitCall,
+        now: float,
+    ) -> list[str]:
+        """Return the free routes for a call, in the order of preference."""
+        answering = [
+            route_name
+            for route_name in sorted(permit_routes)
+            if now >= self._avoided_until.get(route_name, now)
+        ]
+        found = answering or sorted(permit_routes)
+        if call.cost_s > SHORT_CALL_S and self._keep_own_short:
+            found = [route_name for route_name in found if route_name] or found
+        return [route for route in found if route not in self._busy]
+
+    def _record_route(
+        self, route_name: str, answer: Permits | None, now: float
+    ) -> None:
+        """Record whether a route answered, so that silent ones are avoided."""
+        if answer is not None:
+            self._avoided_until.pop(route_name, None)
+            return
+        self._avoided_until[route_name] = now + _AVOID_ROUTE_S
+        _log.warning(
+            'permit route gave no answer lane=%s avoided_s=%g',
+            route_name or 'own',
+            _AVOID_ROUTE_S,
         )
-        allowed = others
-        if short or not self._keep_own_short or not others:
-            allowed = ['', *others]
-        for route_name in allowed:
-            if route_name not in self._busy:
-                return route_name
-        return None
 
     async def _ask(
         self, call: PermitCall, route_name: str, route: PermitRoute
@@ -234,6 +289,7 @@
             answer = await route(call.step, named, call.cost_s + _CALL_SLACK_S)
         finally:
             self._busy.discard(route_name)
+        self._record_route(route_name, answer, trio.current_time())
         _log.info(
             'permits step=%s lane=%s named=%d good=%s after_ms=%d',
             call.step,
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -53,6 +53,7 @@
     """A request for permits to run a step's tasks on some of the workers.
 
     A request that is ``ahead`` renews permits before there is free capacity.
+    A gang's workers are requested ``together``.
     """
 
     entry: JobRun
@@ -60,6 +61,11 @@
     workers: list[Worker]
     ahead: bool = False
 
+    @property
+    def together(self) -> bool:
+        """Whether the step needs valid permits for all workers at once."""
+        return self.step.step.gang
+
 
 class Demand:
     """Free capacity that this round's permit requests have not yet claimed.
