Look queues up in an index instead of searching all routes

Every request, every job and every round searched the list of all queues: look-ups by name, by host and prefix, and whether the pool has urgent queues or short permit calls. The configuration now holds an index that is built once a version.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     'control',
     'tombstones',
     'rounds',
+    'routes',
 )
 _READS_LOGS = 'day'
 
--- a/features/steps/round_steps.py
+++ b/features/steps/round_steps.py
@@ -2,7 +2,6 @@
 
 import logging
 import re
-import sys
 
 from behave import given, step, then, when
 
@@ -11,31 +10,14 @@
 from cyclamentrack.jobs.model import JobState
 from cyclamentrack.jobs.registry import Phase, placements
 from features.harness.asgi import call_app
+from features.harness.calls import CallCounter
 from features.harness.fullpool import FullPool
 from features.harness.jobworld import POOL, make_step
 
 
-class _Calls:
-    """Counts calls of Python functions inside its ``with`` block."""
-
-    def __init__(self):
-        self.count = 0
-
-    def __enter__(self):
-        sys.setprofile(self._note)
-        return self
-
-    def __exit__(self, *error):
-        sys.setprofile(None)
-
-    def _note(self, frame, event, argument):
-        del frame, argument
-        self.count += event == 'call'
-
-
 def _count(pool, rounds):
     """Play rounds and return their calls and waiting steps."""
-    calls = _Calls()
+    calls = CallCounter()
     steps = 0
     for _ in range(rounds):
         pool.advance()
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -1,11 +1,13 @@
 """Data model of jobs and steps, queues, workers and the configuration."""
 
 import enum
+import functools
 from typing import NewType
 
 import msgspec
 
 from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.queue_index import QueueIndex
 from cyclamentrack.resources import Resources
 
 JobId = NewType('JobId', str)
@@ -69,7 +71,7 @@
     permits: PermitPolicy | None = None
 
 
-class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+class Configuration(msgspec.Struct, frozen=True, kw_only=True, dict=True):
     """One version of the configuration; version numbers only increase."""
 
     version: int
@@ -77,25 +79,18 @@
     pools: tuple[PoolName, ...]
     max_body_bytes: int
 
+    @functools.cached_property
+    def index(self) -> QueueIndex:
+        """The queues by name and by route."""
+        return QueueIndex(self.queues)
+
     def route(self, *, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest prefix of the path."""
-        fitting = [
-            queue
-            for queue in self.queues
-            if queue.host == host and path.startswith(queue.path_prefix)
-        ]
-        return max(
-            fitting,
-            key=lambda queue: len(queue.path_prefix),
-            default=None,
-        )
+        return self.index.route(host=host, path=path)
 
     def queue(self, name: QueueName) -> Queue | None:
         """Return a queue by its name, ``None`` if there is none."""
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
+        return self.index.named(name)
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -447,19 +447,17 @@
 
     def _has_urgent_queues(self) -> bool:
         configuration = self._dependencies.configuration()
-        return configuration is not None and any(
-            queue.pool == self.claim.pool and queue.priority == 0
-            for queue in configuration.queues
+        return (
+            configuration is not None
+            and self.claim.pool in configuration.index.urgent_pools
         )
 
     def _has_short_permits(self) -> bool:
         configuration = self._dependencies.configuration()
-        return configuration is not None and any(
-            queue.pool == self.claim.pool
-            and queue.permits is not None
-            and queue.permits.decide_s <= SHORT_CALL_S
-            for queue in configuration.queues
-        )
+        if configuration is None:
+            return False
+        shortest_s = configuration.index.shortest_permit_s.get(self.claim.pool)
+        return shortest_s is not None and shortest_s <= SHORT_CALL_S
 
     def _place(self, assigned: Assignment) -> Placement:
         task = assigned.task
