Order the nodes of a cell in a time that hardly grows faster than their number

Every 6 s, and whenever it hands a slice over, an owner sorts its peers by when they would claim it. For each peer the class of every node was computed, and for each class the best capacity of all nodes: the cube of the number of nodes, in the owner's event loop. While the loop is blocked, starts and lease renewals go unanswered.

Classes and delays are now computed once for all nodes.

--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -11,7 +11,7 @@
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName, WorkerId
-from cyclamentrack.jobs.claim_order import capacity_class, claim_delay_s
+from cyclamentrack.jobs.claim_order import capacity_classes, claim_delays_s
 from cyclamentrack.jobs.claims import (
     RENEW_S,
     LeaseRenewer,
@@ -395,12 +395,13 @@
         members = {**self.members, self.me.node: self.me}
         former = self.lease_tracker.seen.get(pool)
         known = former is not None and former.lease.node == self.me.node
-        if known and capacity_class(self.me, members.values()) == 0:
+        if known and capacity_classes(members.values())[self.me.node] == 0:
             return 0.0
         owners = self._slice_owners()
         if self.owners or self._claiming:
             owners.add(self.me.node)
-        return claim_delay_s(pool, self.me.node, members=members, owners=owners)
+        delays_s = claim_delays_s(pool, members=members, owners=owners)
+        return delays_s[self.me.node]
 
     def _slice_owners(self) -> set[str]:
         """Return the nodes that own a slice according to the known leases."""
@@ -589,28 +590,26 @@
 
     def _more_capable(self, owner: SliceOwner) -> list[Member]:
         """Return the peers of a higher capacity class that own nothing."""
-        everyone = [*self.members.values(), self.me]
-        own = capacity_class(self.me, everyone)
+        classes = capacity_classes(
+            {**self.members, self.me.node: self.me}.values()
+        )
+        own = classes[self.me.node]
         owners = self._slice_owners()
         return [
             peer
             for peer in self._peers_in_claim_order(owner.claim.pool)
-            if peer.node not in owners and capacity_class(peer, everyone) < own
+            if peer.node not in owners and classes[peer.node] < own
         ]
 
     def _peers_in_claim_order(self, pool: PoolName) -> list[Member]:
         """Return all peers in the order in which they would claim a slice."""
-        owners = self._slice_owners()
         others = {
             name: member
             for name, member in self.members.items()
             if name != self.me.node
         }
-        names = sorted(
-            others,
-            key=lambda name: claim_delay_s(
-                pool, name, members=others, owners=owners
-            ),
+        names = claim_delays_s(
+            pool, members=others, owners=self._slice_owners()
         )
         return [others[name] for name in names]
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/claim_order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claim_order.py
@@ -1,6 +1,12 @@
-"""The order in which nodes claim a slice, so that their claims don't clash."""
+"""The order in which nodes claim a slice, so that their claims don't clash.
+
+An owner orders all its peers in its event loop, so the cost may hardly grow
+faster than the number of nodes: the best capacity and the classes are computed
+once for all of them.
+"""
 
 import hashlib
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 from cyclamentrack.ids import PoolName
@@ -18,8 +24,8 @@
 _CLASS_THRESHOLDS = (0.5, 0.25)
 
 
-def capacity_class(member: Member, members: Collection[Member]) -> int:
-    """Return the class of a node among others, 0 for the most capable.
+def capacity_classes(members: Collection[Member]) -> dict[str, int]:
+    """Return the class of each node among all, 0 for the most capable.
 
     The scarcer of processor and link decides. A node of unknown capacity
     counts as one of the best.
@@ -30,47 +36,53 @@
     >>> small = Member(
     ...     node='b', incarnation='', address='', zone='', cores=0.5
     ... )
-    >>> capacity_class(large, [large, small])
-    0
-    >>> capacity_class(small, [large, small])
-    1
+    >>> capacity_classes([large, small])
+    {'a': 0, 'b': 1}
     """
-    share = min(
-        _share_of_best(member.cores, max(one.cores for one in members)),
-        _share_of_best(
-            _usable_link(member), max(_usable_link(one) for one in members)
-        ),
-    )
-    return sum(share < limit for limit in _CLASS_THRESHOLDS)
-
-
-def claim_delay_s(
+    best_cores = max((one.cores for one in members), default=0.0)
+    best_link = max((_usable_link(one) for one in members), default=0.0)
+    found: dict[str, int] = {}
+    for member in members:
+        share = min(
+            _share_of_best(member.cores, best_cores),
+            _share_of_best(_usable_link(member), best_link),
+        )
+        found[member.node] = sum(share < limit for limit in _CLASS_THRESHOLDS)
+    return found
+
+
+def claim_delays_s(
     pool: PoolName,
-    node: str,
     *,
     members: Mapping[str, Member],
     owners: Collection[str],
-) -> float:
-    """Return how long a node lets others claim a slice first, seconds.
+) -> dict[str, float]:
+    """Return by node how long it lets others claim a slice first, seconds.
 
-    Nodes of a higher class go first, and within a class those that own no
-    slice. ``members`` includes the node itself.
+    The nodes are in the order in which they claim: those of a higher class go
+    first, and within a class those that own no slice.
     """
-    everyone = members.values()
-    classes = {
-        name: capacity_class(member, everyone)
-        for name, member in members.items()
-    }
-    own = classes[node]
-    ahead = sorted({found for found in classes.values() if found < own})
-    before = sum(
-        _class_delay_s(sum(found == one for found in classes.values()))
-        for one in ahead
+    classes = capacity_classes(members.values())
+    sizes = Counter(classes.values())
+    ordered = sorted(
+        members,
+        key=lambda name: (
+            classes[name],
+            name in owners,
+            _claim_rank(pool, name),
+        ),
     )
-    peers = [name for name, found in classes.items() if found == own]
-    peers.sort(key=lambda name: (name in owners, _claim_rank(pool, name)))
-    place = peers.index(node)
-    return before + _class_delay_s(len(peers)) * place / len(peers)
+    delays_s: dict[str, float] = {}
+    places: Counter[int] = Counter()
+    for name in ordered:
+        own = classes[name]
+        size = sizes[own]
+        before_s = sum(
+            _class_delay_s(sizes[other]) for other in sizes if other < own
+        )
+        delays_s[name] = before_s + _class_delay_s(size) * places[own] / size
+        places[own] += 1
+    return delays_s
 
 
 def _class_delay_s(count: int) -> float:
