Count an owner's starts, takeovers and recoveries in the metrics

On-call could read an owner's lag from the metrics, but not whether workers answer its start orders, nor how often slices change hands and how long a pool stands still after a claim. An owner now counts confirmed, unanswered and refused starts and measures the time to confirmation; a node counts the slices that it claims and gives up and measures each recovery.

--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -52,6 +52,7 @@
     Member,
     member_key,
 )
+from cyclamentrack.metrics import Metrics
 from cyclamentrack.ports import Peers
 from cyclamentrack.timeouts import LagAwareTimeouts
 
@@ -98,6 +99,7 @@
     peers: Peers
     wall_clock: Callable[[], float]
     timeouts: LagAwareTimeouts = msgspec.field(default_factory=LagAwareTimeouts)
+    metrics: Metrics = msgspec.field(default_factory=Metrics)
     steady_clock: Callable[[], float] = time.perf_counter
 
 
@@ -468,6 +470,7 @@
                 timings=dependencies.timings,
                 configuration=lambda: self.configuration,
                 permit_routes=self.permit_routes,
+                metrics=dependencies.metrics,
                 wall_clock=dependencies.wall_clock,
                 steady_clock=dependencies.steady_clock,
             ),
@@ -476,6 +479,7 @@
             store=dependencies.store, claim=claim, lease=lease
         )
         self.owners[claim.pool] = owner
+        dependencies.metrics.count('slices_claimed')
         self._renewers[claim.pool] = renewer
         nursery.start_soon(self._run_owner, owner, renewer)
 
@@ -498,10 +502,15 @@
         except* Exception:
             _log.exception('slice dropped after an error pool=%s', pool)
         finally:
-            self._lost_at[pool] = trio.current_time()
-            if self.owners.get(pool) is owner:
-                self.owners.pop(pool)
-                self._renewers.pop(pool)
+            self._forget_owner(owner)
+
+    def _forget_owner(self, owner: SliceOwner) -> None:
+        pool = owner.claim.pool
+        self._lost_at[pool] = trio.current_time()
+        self.dependencies.metrics.count('slices_given_up')
+        if self.owners.get(pool) is owner:
+            self.owners.pop(pool)
+            self._renewers.pop(pool)
 
     async def _renew(self, owner: SliceOwner, renewer: LeaseRenewer) -> None:
         failing_since: float | None = None
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -63,6 +63,7 @@
                 )
                 return
             owner.fleet.note_unanswered(trio.current_time())
+            owner.metrics.count('starts_unanswered')
             attempts += 1
             if attempts == _MAX_ATTEMPTS:
                 owner.stop_run(placement)
@@ -116,6 +117,8 @@
             placement.phase = Phase.RUNNING
             placement.confirmed_at = now
             placement.progressed_at = now
+            self._owner.metrics.count('starts_confirmed')
+            self._owner.metrics.observe('start', now - placement.since)
             _log.info(
                 'run started task=%s run=%d worker=%s after_ms=%d',
                 placement.task,
@@ -124,6 +127,7 @@
                 int((now - placement.since) * _MILLISECONDS),
             )
             return
+        self._owner.metrics.count('starts_refused')
         _log.warning(
             'start refused task=%s run=%d worker=%s reason=%s free=%s',
             placement.task,
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -62,6 +62,7 @@
     quarantine_worker,
     took_expected_time,
 )
+from cyclamentrack.metrics import Metrics
 
 _log = logging.getLogger(__name__)
 
@@ -89,6 +90,7 @@
     timings: Timings
     configuration: Callable[[], Configuration | None]
     permit_routes: Callable[[PoolName], dict[str, PermitRoute]]
+    metrics: Metrics
     wall_clock: Callable[[], float]
     steady_clock: Callable[[], float]
 
@@ -110,6 +112,7 @@
         )
         self.timings = dependencies.timings
         self.orders = dependencies.orders
+        self.metrics = dependencies.metrics
         self.recovered = trio.Event()
         # When each worker's lease was last extended during the recovery, while
         # the jobs were not known yet.
@@ -162,6 +165,9 @@
             nursery.start_soon(worker_feed.drop_unlisted_runs)
             nursery.start_soon(intake.remove_expired_jobs)
             self.recovered.set()
+            self.metrics.observe(
+                'slice_recovery', trio.current_time() - self.claim.claimed_at
+            )
             nursery.start_soon(self.loop_load.watch, self._count_waiting)
             await self._dispatch_rounds(permits, launcher)
 
