Let a malformed message cost one answer, not a pool or a process

A reply of the store, of the permit service or of a peer that can't be decoded raised in a background task and ended the whole process; so did a second reply to one request on a peer connection, and a malformed row of the member table.

Malformed rows are logged and skipped, and the connection to a peer that sends a malformed frame is closed.

--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -12,9 +12,9 @@
 class WireServer:
     """Answers each path with the status and body that a test has set for it.
 
-    If the answer is ``None``, the server closes the connection without a
-    reply; if it is ``'silent'``, it never replies. Paths without an answer get
-    status 404.
+    A body of bytes is sent as it is, any other one as JSON. If the answer is
+    ``None``, the server closes the connection without a reply; if it is
+    ``'silent'``, it never replies. Paths without an answer get status 404.
     """
 
     def __init__(self):
@@ -88,7 +88,7 @@
 
 
 def _response(status, body):
-    payload = json.dumps(body).encode()
+    payload = body if isinstance(body, bytes) else json.dumps(body).encode()
     head = (
         f'HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n'
         f'Content-Length: {len(payload)}\r\n\r\n'
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -13,6 +13,7 @@
 from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.model import (
     JobId,
+    StepName,
     TaskName,
     Token,
     WorkerEntry,
@@ -30,7 +31,7 @@
 from cyclamentrack_platform.entries import PlatformEntries
 from cyclamentrack_platform.settings import load_boot
 from cyclamentrack_platform.store import PlatformRows
-from cyclamentrack_platform.workers import PlatformWorkers
+from cyclamentrack_platform.workers import PlatformPermits, PlatformWorkers
 from features.harness.wire import WireServer
 
 _LEASE_MS = 4321
@@ -72,6 +73,28 @@
     _server(context).answers['/-/hold'] = (200, body)
 
 
+_MALFORMED_ROWS = {
+    'a text as number': (['00000000000000aa.0.1.2', 'x', '', 0], ['x']),
+    'an unknown outcome': ([], [3, '00000000000000aa.0.0.1', 1, 'gone', '']),
+    'a text as progress': (['00000000000000aa.0.1.2', 1, '', 'x'], []),
+}
+
+
+@given('a platform whose worker also lists a run and an end with {fault}')
+def set_malformed_rows(context, fault):
+    set_lists(context)
+    run, end = _MALFORMED_ROWS[fault]
+    _, body = _server(context).answers['/-/hold']
+    body['Running'].append(run)
+    body['Finished'].append(end)
+
+
+@given('a platform that answers "{path}" with the bytes "{text}"')
+def set_bytes(context, path, text):
+    body = text.encode().replace(rb'\xff', b'\xff')
+    _server(context).answers[path] = (200, body)
+
+
 @given('a platform whose store has row "k" at the conflicting version 7')
 def set_conflict(context):
     value = base64.b64encode(b'x').decode()
@@ -172,7 +195,37 @@
     )
 
 
+@when('permits are requested')
+def request_permits(context):
+    service = PlatformPermits(address=_server(context).address)
+    context.answer = _caught(
+        lambda: service.request_permits(
+            step=StepName(JobId('00000000000000aa'), 0, 0),
+            workers=[WorkerId('i-1')],
+            timeout_s=0.5,
+        ),
+    )
+
+
+@then('there is no usable reply')
+def check_no_reply(context):
+    assert context.answer is None, context.answer
+
+
+@when('the store is asked for a {call}')
+def call_store(context, call):
+    rows = PlatformRows(address=_server(context).address)
+    calls = {
+        'write': lambda: rows.commit(Batch(puts=((_KEY, b'y'),))),
+        'scan': lambda: rows.scan(table='t', part=''),
+        'feed': lambda: rows.follow(table='t', after=1, wait_s=0.1),
+        'parts': lambda: rows.parts(table='t'),
+    }
+    context.answer = _caught(calls[call])
+
+
 @then('the write ends with "{error}"')
+@then('the call ends with "{error}"')
 @then('the feed ends with "{error}"')
 @then('the poll ends with "{error}"')
 def check_error(context, error):
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
@@ -120,8 +120,10 @@
     async def _receive(self, connection: Connection) -> None:
         async for packet in connection:
             traffic.count_message(received=len(packet))
-            frame = decode(packet, Frame)
-            channel = self._reply_channels.get(frame.number)
+            frame = _decode_frame(packet, self._address)
+            if frame is None:
+                return
+            channel = self._reply_channels.pop(frame.number, None)
             if channel is not None:
                 channel.send_nowait(frame.message)
 
@@ -133,6 +135,15 @@
             channel.close()
 
 
+def _decode_frame(packet: str | bytes, peer: str) -> Frame | None:
+    """Decode a message; ``None`` if its connection can't be used further."""
+    try:
+        return decode(packet, Frame)
+    except (msgspec.ValidationError, TypeError) as error:
+        _log.warning('malformed message from %s, closing: %s', peer, error)
+        return None
+
+
 async def serve_peers(
     address: str,
     handle: Callable[[PeerMessage], Awaitable[PeerMessage]],
@@ -147,7 +158,9 @@
             try:
                 async for packet in connection:
                     traffic.count_message(received=len(packet))
-                    frame = decode(packet, Frame)
+                    frame = _decode_frame(packet, 'a peer')
+                    if frame is None:
+                        break
                     nursery.start_soon(_answer, connection, frame, handle)
             except WebSocketException:
                 _log.debug('connection from a peer was closed')
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -326,7 +326,10 @@
         )
 
     def _apply_member(self, row: StoredRow) -> None:
-        self.members[row.key.key] = decode(row.body, Member)
+        try:
+            self.members[row.key.key] = decode(row.body, Member)
+        except msgspec.ValidationError as error:
+            _log.warning('member %s not decoded: %s', row.key.key, error)
 
     async def _follow(
         self,
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+import msgspec
 import trio
 
 from cyclamentrack.codec import decode
@@ -204,11 +205,16 @@
         )
 
     def _apply_row(self, row: StoredRow) -> None:
-        job = cancelled_job(row.key)
-        if job is None:
-            self._admit(decode(row.body, Job))
-        else:
-            self._close_cancelled(job)
+        cancelled = cancelled_job(row.key)
+        if cancelled is not None:
+            self._close_cancelled(cancelled)
+            return
+        try:
+            job = decode(row.body, Job)
+        except msgspec.ValidationError as error:
+            _log.error('job not decoded job=%s: %s', row.key.key, error)
+            return
+        self._admit(job)
 
     def _admit(self, job: Job) -> None:
         configuration = self._dependencies.configuration()
