Drop members that left while the store's history was lost

When the store no longer has the changes since a node's last reading, the node reads the whole member table again. It added what it found, but kept members whose rows had been removed meanwhile: a node that had left went on being a permit route and a peer for hand-overs, and cost each call a timeout.

A complete reading now drops the members that it lacks. The scenario in features/jobs/membership.feature failed before: the removed node was still listed by the other two.

--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -36,6 +36,7 @@
     EntryDecoder,
     HistoryLostError,
     OrderFencedError,
+    Page,
     Permits,
     PermitService,
     RowKey,
@@ -103,6 +104,26 @@
     steady_clock: Callable[[], float] = time.perf_counter
 
 
+def _ignore(found: object) -> None:
+    del found
+
+
+class _TableHandlers(msgspec.Struct, frozen=True, kw_only=True):
+    """What to do with the rows of a table that is followed.
+
+    ``begin`` gets the rows of each complete reading before ``apply`` does.
+    """
+
+    apply: Callable[[Sequence[StoredRow]], object]
+    remove: Callable[[Sequence[RowKey]], object] = _ignore
+    begin: Callable[[Sequence[StoredRow]], object] = _ignore
+
+    def load(self, page: Page) -> None:
+        """Handle a complete reading of the table."""
+        self.begin(page.rows)
+        self.apply(page.rows)
+
+
 class JobCell:
     """One node: follows the shared tables, claims slices and owns them."""
 
@@ -297,9 +318,13 @@
         await self._follow(
             tables.configuration,
             _CONFIGURATION_WAIT_S,
-            lambda rows: [
-                self._apply_configuration(row) for row in rows if row.key == key
-            ],
+            _TableHandlers(
+                apply=lambda rows: [
+                    self._apply_configuration(row)
+                    for row in rows
+                    if row.key == key
+                ],
+            ),
         )
 
     def _apply_configuration(self, row: StoredRow) -> None:
@@ -321,10 +346,22 @@
         await self._follow(
             MEMBERS,
             _MEMBERS_WAIT_S,
-            lambda rows: [self._apply_member(row) for row in rows],
-            lambda keys: [self.members.pop(key.key, None) for key in keys],
+            _TableHandlers(
+                apply=lambda rows: [self._apply_member(row) for row in rows],
+                remove=lambda keys: [
+                    self.members.pop(key.key, None) for key in keys
+                ],
+                begin=self._keep_members,
+            ),
         )
 
+    def _keep_members(self, rows: Sequence[StoredRow]) -> None:
+        """Drop the members that a complete reading lacks; they have left."""
+        present = {row.key.key for row in rows}
+        for name in set(self.members) - present:
+            _log.info('member left node=%s', name)
+            self.members.pop(name)
+
     def _apply_member(self, row: StoredRow) -> None:
         try:
             self.members[row.key.key] = decode(row.body, Member)
@@ -335,10 +372,12 @@
         self,
         table: str,
         wait_s: float,
-        apply: Callable[[Sequence[StoredRow]], object],
-        remove: Callable[[Sequence[RowKey]], object] | None = None,
+        handlers: '_TableHandlers',
     ) -> None:
-        """Read a table that has a single part, then follow its changes."""
+        """Read a table that has a single part, then follow its changes.
+
+        It is read again once the store no longer has the history of changes.
+        """
         version: int | None = None
         while True:
             try:
@@ -346,7 +385,7 @@
                     page = await self.dependencies.store.scan(
                         table=table, part=''
                     )
-                    apply(page.rows)
+                    handlers.load(page)
                     version = page.version
                 changes = await self.dependencies.store.follow(
                     table=table, after=version, wait_s=wait_s
@@ -358,9 +397,8 @@
                 version = None
                 continue
             version = changes.version
-            apply(changes.rows)
-            if remove is not None:
-                remove(changes.removed)
+            handlers.apply(changes.rows)
+            handlers.remove(changes.removed)
 
     async def _claim_due_slices(self, nursery: trio.Nursery) -> None:
         await self.configured.wait()
