--- a/features/harness/scripts.py
+++ b/features/harness/scripts.py
@@ -12,7 +12,8 @@
 import msgspec
 import trio
 
-from cyclamentrack.ids import WorkerId, WorkId
+from cyclamentrack import defaults
+from cyclamentrack.ids import PartitionId, WorkerId, WorkId
 from cyclamentrack.node import Node
 from cyclamentrack.ports import StartCommand
 from cyclamentrack.resources import Resources
@@ -379,6 +380,28 @@
     assert not remaining, remaining
 
 
+def partition_returns(testbed: Testbed) -> None:
+    """A daemon acquires partitions again that it released to another one."""
+    world = testbed.world
+    former = {
+        partition: node
+        for node in world.cell.nodes.values()
+        for partition in node.ownership.owned_partitions
+    }
+    world.loop.run(_start, testbed, 'd')
+    testbed.sleep(_TAKEOVER_S)
+    moved = set(world.node('d').ownership.owned_partitions)
+    world.loop.run(_kill, testbed, world.node('d'))
+    testbed.sleep(_TAKEOVER_S)
+    owner, returned = _returned_partitions(former, moved)
+    for work in _works_in(returned, testbed.world.cell.partitions):
+        testbed.submit(work, owner)
+    testbed.sleep(2 * defaults.SNAPSHOT_INTERVAL_S)
+    world.loop.run(_kill, testbed, owner)
+    testbed.sleep(_TAKEOVER_S)
+    testbed.finish()
+
+
 def lookups_in_outage(testbed: Testbed) -> None:
     """Lookups continue during a table service outage of half a minute."""
     testbed.world.cell.table.faults = StoreFaults(out=True)
@@ -418,6 +441,7 @@
         duplicate_name,
         gang_without_capacity,
         journal_of_dead_daemon,
+        partition_returns,
         excess_usage,
         lookups_in_outage,
     )
@@ -443,6 +467,32 @@
     )
 
 
+def _returned_partitions(
+    former: dict[PartitionId, Node], moved: set[PartitionId]
+) -> tuple[Node, set[PartitionId]]:
+    """Return an owner and those of its moved partitions that came back."""
+    for owner in former.values():
+        returned = {
+            partition
+            for partition in moved & set(owner.ownership.owned_partitions)
+            if former.get(partition) is owner
+        }
+        if returned:
+            return owner, returned
+    raise AssertionError('no partition came back to its former owner')
+
+
+def _works_in(partitions: set[PartitionId], count: int) -> list[Work]:
+    """Return one work of two minutes for each partition."""
+    found: dict[PartitionId, Work] = {}
+    for number in range(100 * count):
+        work = make_work(f'back-{number}', run_s=_END_S)
+        partition = partition_of(work.id, count)
+        if partition in partitions:
+            found.setdefault(partition, work)
+    return list(found.values())
+
+
 def _constant_usage(usage: Resources, command: StartCommand) -> Resources:
     del command
     return usage
--- a/features/promises/failures.feature
+++ b/features/promises/failures.feature
@@ -30,6 +30,10 @@
     When the script "drain after replacement" runs
     Then every promise was kept
 
+  Scenario: A partition that a daemon released and acquired again keeps its work
+    When the script "partition returns" runs
+    Then every promise was kept
+
   Scenario: A gang without free capacity neither busy-loops nor starves
     When the script "gang without capacity" runs
     Then every promise was kept
--- a/packages/cyclamentrack/cyclamentrack/node.py
+++ b/packages/cyclamentrack/cyclamentrack/node.py
@@ -371,6 +371,7 @@
             f'partition {partition}',
             f'epoch {epoch}',
         )
+        self._released_registries.pop(partition, None)
         self.works.add_registry(registry)
         self.dispatcher.reopen(partition)
         self.coordinator.recover(partition)
