--- a/features/harness/scripts.py
+++ b/features/harness/scripts.py
@@ -13,13 +13,18 @@
 import trio
 
 from cyclamentrack import defaults
-from cyclamentrack.ids import PartitionId, WorkerId, WorkId
+from cyclamentrack.ids import WorkerId, WorkId
 from cyclamentrack.node import Node
 from cyclamentrack.ports import StartCommand
 from cyclamentrack.resources import Resources
 from cyclamentrack.work import Kind, Stage, Work, partition_of
 from cyclamentrack_standins.table import StoreFaults
 from features.harness.oracle import Oracle
+from features.harness.partitions import (
+    largest_owner,
+    returned_partitions,
+    works_in,
+)
 from features.harness.world import World, make_work
 
 _TAKEOVER_S = 20
@@ -103,7 +108,7 @@
 
 def late_start(testbed: Testbed) -> None:
     """A start order reaches its worker after the owner was replaced."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, idempotent=True, run_s=40.0)
     for worker in testbed.world.cell.workers:
         testbed.world.cell.network.slow(owner.me.incarnation, worker, _DELAY_S)
@@ -116,7 +121,7 @@
 
 def resumed_owner(testbed: Testbed) -> None:
     """An owner is paused while it accepts a work, and is replaced meanwhile."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, run_s=1.0)
     testbed.world.cell.freeze(owner)
     testbed.submit_later(work, owner)
@@ -128,7 +133,7 @@
 
 def kill_before_commit(testbed: Testbed) -> None:
     """An owner dies before the table service confirmed its commit."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, run_s=2.0)
     testbed.world.cell.table.faults = StoreFaults(slow_s=0.9, out=True)
     testbed.submit_later(work, owner)
@@ -142,7 +147,7 @@
 
 def short_disconnect(testbed: Testbed) -> None:
     """A worker is unreachable for less than its lease."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, idempotent=True, run_s=40.0)
     testbed.submit(work, owner)
     testbed.sleep(1)
@@ -172,7 +177,7 @@
 
 def refused_submission(testbed: Testbed) -> None:
     """Work arrives during an outage of the table service, which ends later."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     testbed.world.cell.table.faults = StoreFaults(out=True)
     first = testbed.work_of(owner, run_s=1.0)
     testbed.submit_later(first, owner)
@@ -186,7 +191,7 @@
 
 def restarted_worker(testbed: Testbed) -> None:
     """A worker restarts while it runs non-idempotent work."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, run_s=20.0)
     testbed.submit(work, owner)
     testbed.sleep(1)
@@ -199,7 +204,7 @@
 
 def unrecorded_end(testbed: Testbed) -> None:
     """A task ends, but its owner can't record the end and dies."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, run_s=3.0)
     testbed.submit(work, owner)
     testbed.sleep(1)
@@ -220,7 +225,7 @@
     testbed.sleep(3)
     testbed.world.cell.workers[worker].leaving = True
     for _ in range(20):
-        owner = _largest_owner(testbed)
+        owner = largest_owner(testbed.world.cell.nodes.values())
         work = testbed.work_of(
             owner,
             resources=Resources(milli_cores=12_000, memory_mib=1024),
@@ -266,7 +271,7 @@
 
 def gang_across_daemons(testbed: Testbed) -> None:
     """A gang needs the workers of several daemons."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(
         owner,
         kind=Kind.GANG,
@@ -287,7 +292,7 @@
 
 def drained_daemon(testbed: Testbed) -> None:
     """A daemon drains while a caller waits for an answer."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     works = [testbed.work_of(owner, run_s=2.0)]
     testbed.submit(works[0], owner)
     answers: list[Any] = []
@@ -305,7 +310,7 @@
 
 def drain_after_replacement(testbed: Testbed) -> None:
     """A daemon is paused and replaced, and must drain when it resumes."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, run_s=2.0)
     testbed.submit(work, owner)
     testbed.world.cell.freeze(owner)
@@ -330,7 +335,7 @@
 
 def gang_without_capacity(testbed: Testbed) -> None:
     """A gang waits for capacity of all daemons that other work occupies."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     resources = Resources(milli_cores=15_000, memory_mib=1024)
     long_work = testbed.work_of(
         owner, idempotent=True, tasks=4, resources=resources, run_s=20.0
@@ -355,7 +360,7 @@
     excess = Resources(milli_cores=10_000, memory_mib=1024)
     for worker in testbed.world.cell.workers.values():
         worker.use_by(partial(_constant_usage, excess))
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     work = testbed.work_of(owner, resources=declared, run_s=30.0)
     testbed.submit(work, owner)
     testbed.sleep(15)
@@ -366,7 +371,7 @@
 
 def journal_of_dead_daemon(testbed: Testbed) -> None:
     """The journal of a dead daemon is removed once no registry needs it."""
-    owner = _largest_owner(testbed)
+    owner = largest_owner(testbed.world.cell.nodes.values())
     testbed.submit(testbed.work_of(owner, run_s=1.0), owner)
     testbed.sleep(2)
     testbed.world.loop.run(_kill, testbed, owner)
@@ -393,8 +398,9 @@
     moved = set(world.node('d').ownership.owned_partitions)
     world.loop.run(_kill, testbed, world.node('d'))
     testbed.sleep(_TAKEOVER_S)
-    owner, returned = _returned_partitions(former, moved)
-    for work in _works_in(returned, testbed.world.cell.partitions):
+    owner, returned = returned_partitions(former, moved)
+    works = works_in(returned, world.cell.partitions, run_s=_END_S)
+    for work in works:
         testbed.submit(work, owner)
     testbed.sleep(2 * defaults.SNAPSHOT_INTERVAL_S)
     world.loop.run(_kill, testbed, owner)
@@ -460,39 +466,6 @@
         testbed.world.close()
 
 
-def _largest_owner(testbed: Testbed) -> Node:
-    return max(
-        testbed.world.cell.nodes.values(),
-        key=lambda node: len(node.ownership.owned_partitions),
-    )
-
-
-def _returned_partitions(
-    former: dict[PartitionId, Node], moved: set[PartitionId]
-) -> tuple[Node, set[PartitionId]]:
-    """Return an owner and those of its moved partitions that came back."""
-    for owner in former.values():
-        returned = {
-            partition
-            for partition in moved & set(owner.ownership.owned_partitions)
-            if former.get(partition) is owner
-        }
-        if returned:
-            return owner, returned
-    raise AssertionError('no partition came back to its former owner')
-
-
-def _works_in(partitions: set[PartitionId], count: int) -> list[Work]:
-    """Return one work of two minutes for each partition."""
-    found: dict[PartitionId, Work] = {}
-    for number in range(100 * count):
-        work = make_work(f'back-{number}', run_s=_END_S)
-        partition = partition_of(work.id, count)
-        if partition in partitions:
-            found.setdefault(partition, work)
-    return list(found.values())
-
-
 def _constant_usage(usage: Resources, command: StartCommand) -> Resources:
     del command
     return usage
