--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,7 +8,7 @@
 
 import typer
 
-from bench.day import measure as read_logs
+from bench import day, takeovers
 
 _NAMES = (
     'decide',
@@ -21,26 +21,28 @@
     'rounds',
     'routes',
 )
-_READS_LOGS = 'day'
+_LOG_REPORTS = {'day': day.measure, 'takeovers': takeovers.measure}
 
 
 def main(
     name: Annotated[
-        str, typer.Argument(help=', '.join((*_NAMES, _READS_LOGS)))
+        str, typer.Argument(help=', '.join((*_NAMES, *_LOG_REPORTS)))
     ],
     path: Annotated[
         Path | None,
-        typer.Argument(help='Log file of a simulated day, for "day".'),
+        typer.Argument(
+            help='Log file of a played day, for "day" and "takeovers".'
+        ),
     ] = None,
     json: Annotated[bool, typer.Option(help='Print JSON.')] = False,
 ) -> None:
     """Run a measurement; exit with 1 if a target isn't met, 2 if unknown."""
-    if name == _READS_LOGS and path is not None and path.is_file():
-        sys.exit(read_logs(path).print(as_json=json))
+    if name in _LOG_REPORTS and path is not None and path.is_file():
+        sys.exit(_LOG_REPORTS[name](path).print(as_json=json))
     if name not in _NAMES:
         typer.echo(
             f'no measurement {name!r}; use one of {_NAMES}, '
-            f'or {_READS_LOGS} with a log file',
+            f'or one of {list(_LOG_REPORTS)} with a log file',
             err=True,
         )
         raise typer.Exit(2)
--- a/bench/day.py
+++ b/bench/day.py
@@ -8,25 +8,20 @@
 
 import re
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
 
+from bench.loglines import LogLine, log_lines
 from bench.report import Report, percentile
 
-_LINE = re.compile(r'\s*(-?[\d.]+)\s+(\S+)\s+(\{.*\})\s*$')
-_FIELD = re.compile(r'(\w+)=(\S+)')
 _CAUSE = re.compile(r'(?:why|reason)=(.+?)(?: (?:free|for_s)=.*)?$')
 _P50 = 0.5
 _P95 = 0.95
 _CAUSE_PREFIXES = ('run lost', 'start refused', 'moving', 'worker quarantined')
 
 
-class _Message(msgspec.Struct):
-    message: str
-
-
 class JobTrace(msgspec.Struct, kw_only=True):
     """The events of one job in the logs; times are seconds of the day."""
 
@@ -70,8 +65,8 @@
 def read_day(lines: Iterable[str]) -> Day:
     """Read the lines of a day; lines in another format are skipped."""
     day = Day()
-    for at, message in _messages(lines):
-        _apply_message(day, at, message)
+    for line in log_lines(lines):
+        _apply_message(day, line)
     return day
 
 
@@ -105,20 +100,8 @@
     return report
 
 
-def _messages(lines: Iterable[str]) -> Iterator[tuple[float, str]]:
-    for line in lines:
-        found = _LINE.match(line)
-        if found is None:
-            continue
-        try:
-            entry = msgspec.json.decode(found[3], type=_Message)
-        except msgspec.MsgspecError:
-            continue
-        yield float(found[1]), entry.message
-
-
-def _apply_message(day: Day, at: float, message: str) -> None:
-    fields = dict(_FIELD.findall(message))
+def _apply_message(day: Day, line: LogLine) -> None:
+    at, message, fields = line.at, line.message, line.fields
     named = fields.get('job') or fields.get('task') or fields.get('step') or ''
     job = day.jobs[named.split('.')[0]] if named else JobTrace()
     match message.split('=', maxsplit=1)[0]:
--- a/features/steps/day_steps.py
+++ b/features/steps/day_steps.py
@@ -6,29 +6,39 @@
 import msgspec
 from behave import given, then, when
 
-from bench.day import measure
+from bench import day, takeovers
 
 
 @given('the logs of a day')
 def write_logs(context):
     context.lines = [
-        f'  {row["at"]} node-1 {msgspec.json.encode(_entry(row)).decode()}'
+        f'  {row["at"]} {row.get("node", "node-1")} {_entry(row["message"])}'
         for row in context.table
     ]
 
 
-def _entry(row):
-    return {'level': 'INFO', 'message': row['message']}
+def _entry(message):
+    return msgspec.json.encode({'level': 'INFO', 'message': message}).decode()
 
 
 @when('a line of another program is added')
 def add_foreign_line(context):
     context.lines.insert(1, 'day   own/srv  score {not json}')
+    report = _report(context, day.measure)
+    context.rows = {row[0]: row[1:] for row in report.rows}
+
+
+def _report(context, measure):
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, 'day.log')
-        path.write_text(chr(10).join(context.lines), encoding='utf-8')
-        report = measure(path)
-    context.rows = {row[0]: row[1:] for row in report.rows}
+        path.write_text('\n'.join(context.lines), encoding='utf-8')
+        return measure(path)
+
+
+@then('the report on takeovers has these rows')
+def check_takeovers(context):
+    rows = _report(context, takeovers.measure).rows
+    assert rows == [list(row) for row in context.table], rows
 
 
 @then(
