--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -19,6 +19,11 @@
       | text as number          | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":"two"}]}                     | 400    |
       | depends on itself       | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"After":[0]}]}             | 400    |
       | depends on a later one  | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"After":[1]},{"Count":1}]} | 400    |
+      | a huge MayMiss          | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"MayMiss":123456789012345678901234567890}]} | 400 |
+      | a negative MayMiss      | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"MayMiss":-1}]}            | 400    |
+      | a negative target       | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"TargetMs":-1}]}           | 400    |
+      | a start out of range    | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1}],"RepeatCount":1,"StartAtMs":1e300} | 400 |
+      | a negative interval     | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1}],"RepeatCount":2,"IntervalMs":-1} | 400 |
       | an id that is too short | POST   | /lookups/aa               | {"Steps":[{"Count":1}]}                         | 400    |
       | an id that is no hex    | POST   | /lookups/zz000000000000aa | {"Steps":[{"Count":1}]}                         | 400    |
       | unknown prefix          | POST   | /other/00000000000000aa   | {"Steps":[{"Count":1}]}                         | 404    |
