--- a/features/jobs/owner_metrics.feature
+++ b/features/jobs/owner_metrics.feature
@@ -29,3 +29,11 @@
     Then the former owner's metrics have these samples
       | sample                                | value |
       | cyclamentrack_slices_given_up_total | 1     |
+
+  Scenario: A node that owns several pools counts the open jobs of all
+    Given a second pool on the same node
+    When a job of the steps "1" of 30 seconds is submitted
+    And 1 second goes by
+    Then the owner's metrics have these samples
+      | sample                  | value |
+      | cyclamentrack_jobs_open | 1     |
--- a/features/steps/owner_metrics_steps.py
+++ b/features/steps/owner_metrics_steps.py
@@ -1,9 +1,26 @@
 """Steps about the metrics of an owner."""
 
-from behave import then, when
+from behave import given, then, when
 
+from cyclamentrack.ids import PoolName
 from cyclamentrack_platform.front import HttpFrontend
 from features.harness.asgi import call_app
+from features.harness.jobworld import POOL, make_queue
+
+
+@given('a second pool on the same node')
+def add_pool(context):
+    world = context.jobs
+    for name in [name for name in world.cells if name != world.owner()]:
+        world.kill_node(name)
+    second = PoolName('second')
+    world.configure(
+        make_queue('lookups', permits=0.02),
+        make_queue('other', pool=second),
+        pools=(POOL, second),
+    )
+    world.loop.sleep(6)
+    assert world.owner(second) == world.owner()
 
 
 @when('another owner fences the workers')
