Find an owner's permit routes once a change, not several times a round

Each round of an owner, and each permit call that waits in it, built the permit routes of the whole cell again: a set and a sort of all members and a closure for each. With hundreds of nodes that is work for each round that grows with the number of nodes and of waiting calls.

The routes are kept until a member or an owner changes, and sorted once a round. The stand-in's feed now also wakes for removed rows, as the platform's does.

--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -98,6 +98,11 @@
             version=self.version,
         )
 
+    def has_changed(self, table: str, after: int) -> bool:
+        """Return whether a row of a table was put or removed since."""
+        changes = self.changes(table, after)
+        return bool(changes.rows or changes.removed)
+
     async def wait_for_change(self) -> None:
         """Wait until the next write to any table."""
         await self._written.wait()
@@ -172,7 +177,7 @@
         if after < self._rows.history_from:
             raise HistoryLostError(table=table)
         with trio.move_on_after(wait_s):
-            while not self._rows.changes(table, after).rows:
+            while not self._rows.has_changed(table, after):
                 await self._rows.wait_for_change()
         await trio.sleep(self._rows.feed_delay_s)
         await self._begin_call()
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -143,6 +143,10 @@
         self._due_since: dict[PoolName, float] = {}
         self._lost_at: dict[PoolName, float] = {}
         self._renewers: dict[PoolName, LeaseRenewer] = {}
+        # An owner reads its permit routes several times in each round, so they
+        # are only found again when the members or the owners have changed.
+        self._permit_routes: dict[PoolName, dict[str, PermitRoute]] = {}
+        self._routed_owners: dict[PoolName, str] = {}
 
     async def run(self) -> None:
         """Follow the shared tables and own slices until cancelled."""
@@ -238,14 +242,17 @@
         Members that own no slice are assigned to the slices in rotation, so
         that no two owners queue on the same route.
         """
-        found: dict[str, PermitRoute] = {'': self.request_permits}
-        pools = sorted(self.lease_tracker.seen)
-        owners = {seen.lease.node for seen in self.lease_tracker.seen.values()}
-        free = sorted(set(self.members) - owners - {self.me.node})
-        for number, name in enumerate(free):
-            if pools and pools[number % len(pools)] == pool:
-                address = self.members[name].address
-                found[address] = self._peer_permit_route(address)
+        owners = {
+            known: seen.lease.node
+            for known, seen in self.lease_tracker.seen.items()
+        }
+        if owners != self._routed_owners:
+            self._routed_owners = owners
+            self._permit_routes.clear()
+        found = self._permit_routes.get(pool)
+        if found is None:
+            found = self._find_permit_routes(pool, owners)
+            self._permit_routes[pool] = found
         return found
 
     async def request_permits(
@@ -259,6 +266,18 @@
                 )
         return None
 
+    def _find_permit_routes(
+        self, pool: PoolName, owners: dict[PoolName, str]
+    ) -> dict[str, PermitRoute]:
+        found: dict[str, PermitRoute] = {'': self.request_permits}
+        pools = sorted(owners)
+        free = sorted(set(self.members) - set(owners.values()) - {self.me.node})
+        for number, name in enumerate(free):
+            if pools and pools[number % len(pools)] == pool:
+                address = self.members[name].address
+                found[address] = self._peer_permit_route(address)
+        return found
+
     def _peer_permit_route(self, address: str) -> PermitRoute:
         async def call(
             step: StepName, workers: Sequence[WorkerId], timeout_s: float
@@ -349,7 +368,7 @@
             _TableHandlers(
                 apply=lambda rows: [self._apply_member(row) for row in rows],
                 remove=lambda keys: [
-                    self.members.pop(key.key, None) for key in keys
+                    self._remove_member_row(key) for key in keys
                 ],
                 begin=self._keep_members,
             ),
@@ -360,9 +379,14 @@
         present = {row.key.key for row in rows}
         for name in set(self.members) - present:
             _log.info('member left node=%s', name)
-            self.members.pop(name)
+            self._remove_member_row(member_key(name))
+
+    def _remove_member_row(self, key: RowKey) -> None:
+        self.members.pop(key.key, None)
+        self._permit_routes.clear()
 
     def _apply_member(self, row: StoredRow) -> None:
+        self._permit_routes.clear()
         try:
             self.members[row.key.key] = decode(row.body, Member)
         except msgspec.ValidationError as error:
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -235,9 +235,10 @@
             call for call in self._calls if self.of(call.step).may_call(now)
         ]
         calls.sort(key=lambda one: one.ahead)
+        usable = self._usable_routes(permit_routes, now)
         for number, call in enumerate(calls):
             known = self.of(call.step)
-            free = self._free_routes(permit_routes, call, now)
+            free = self._free_routes(usable, call)
             if not free:
                 continue
             if call.ahead and len(permit_routes) - len(self._busy) <= 1:
@@ -254,19 +255,20 @@
                     self._ask, part, route_name, permit_routes[route_name]
                 )
 
-    def _free_routes(
-        self,
-        permit_routes: dict[str, PermitRoute],
-        call: PermitCall,
-        now: float,
+    def _usable_routes(
+        self, permit_routes: dict[str, PermitRoute], now: float
     ) -> list[str]:
-        """Return the free routes for a call, in the order of preference."""
+        """Return the routes that answer, or all if none does, in order."""
         answering = [
             route_name
-            for route_name in sorted(permit_routes)
+            for route_name in permit_routes
             if now >= self._avoided_until.get(route_name, now)
         ]
-        found = answering or sorted(permit_routes)
+        return sorted(answering or permit_routes)
+
+    def _free_routes(self, usable: list[str], call: PermitCall) -> list[str]:
+        """Return the free routes for a call, in the order of preference."""
+        found = usable
         if call.cost_s > SHORT_CALL_S and self._keep_own_short:
             found = [route_name for route_name in found if route_name] or found
         return [route for route in found if route not in self._busy]
