Refuse jobs at once on a node that the store has stopped answering

The node's feed of leases had broken before, at the first moment.

While that feed is broken, a read goes before the write, as it already did after a write in doubt. If it isn't answered, the job is refused with 503 and a Retry-After, without having been sent, and its caller tries another node.

The new scenario of features/jobs/cell.feature got "unknown" after 2.7 s before and now gets "refused" within a second on each node.

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -185,6 +185,11 @@
     And 1.5 seconds go by
     Then another node owns the pool
 
+  Scenario: A node that the store has cut off refuses already the first job at once
+    When the store resets the calls of all nodes
+    And 2 seconds go by
+    Then each node refuses a job within 1 second
+
   Scenario: Callers get accurate answers once the store is known to be down
     When the store goes down
     Then a job that is submitted now is unknown
--- a/features/steps/outage_steps.py
+++ b/features/steps/outage_steps.py
@@ -121,3 +121,20 @@
 @then('the last job is unknown')
 def check_unknown(context):
     assert _world(context).state(context.job) is None
+
+
+@when('the store resets the calls of all nodes')
+def reset_all(context):
+    world = _world(context)
+    world.rows.reset_nodes.update(world.services)
+
+
+@then('each node refuses a job within {seconds:g} second')
+def check_refused_soon(context, seconds):
+    world = _world(context)
+    for name in world.services:
+        began = world.loop.run(world.now)
+        _, outcome = world.submit(make_step(1), node=name)
+        took_s = world.loop.run(world.now) - began
+        assert outcome is RequestOutcome.REFUSED, (name, outcome)
+        assert took_s <= seconds, (name, took_s)
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -77,9 +77,15 @@
         store: RowStore,
         peers: Peers,
         addresses: Callable[[], list[str]],
+        store_unreachable: Callable[[], bool],
     ) -> None:
-        """Use the store first, then the peers at ``addresses``."""
+        """Use the store first, then the peers at ``addresses``.
+
+        ``store_unreachable`` tells whether the store has stopped answering
+        the node's other calls.
+        """
         self._store = store
+        self._store_unreachable = store_unreachable
         self._peers = peers
         self._addresses = addresses
         self._last_write_in_doubt = False
@@ -109,13 +115,12 @@
     async def store_locally(self, batch: Batch) -> RequestOutcome:
         """Try the store once; ``UNKNOWN`` means that it may be stored.
 
-        If the last write is not certain to be stored, this first checks that
-        the store answers a read. While the store is down, requests are
-        therefore refused without having been sent.
+        If the last write is not certain to be stored, or the store doesn't
+        answer other calls, this first checks that it answers a read. While the
+        store is down, requests are therefore refused without having been sent.
         """
-        if self._last_write_in_doubt and not await self._store_answers_reads(
-            batch
-        ):
+        in_doubt = self._last_write_in_doubt or self._store_unreachable()
+        if in_doubt and not await self._store_answers_reads(batch):
             return RequestOutcome.REFUSED
         outcome = await self._write(batch)
         self._last_write_in_doubt = outcome is not RequestOutcome.STORED
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -77,6 +77,7 @@
             store=cell.dependencies.store,
             peers=cell.dependencies.peers,
             addresses=cell.peer_addresses,
+            store_unreachable=lambda: cell.lease_tracker.store_unreachable,
         )
 
     async def submit(
