--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -14,13 +14,15 @@
 
     A body of bytes is sent as it is, any other one as JSON. If the answer is
     ``None``, the server closes the connection without a reply; if it is
-    ``'silent'``, it never replies. Paths without an answer get status 404.
+    ``'silent'``, it never replies. Paths without an answer get status 404. A
+    server that ``closes_after_reply`` doesn't keep a connection for more calls.
     """
 
     def __init__(self):
         self.answers = {}
         self.calls = []
         self.connections = 0
+        self.closes_after_reply = False
         self.address = ''
         self._started = threading.Event()
         self._token = None
@@ -69,6 +71,9 @@
                 await stream.aclose()
                 return
             await stream.send_all(_response(*answer))
+            if self.closes_after_reply:
+                await stream.aclose()
+                return
 
     async def _read_request(self, stream, buffer):
         while b'\r\n\r\n' not in buffer:
--- a/features/platform/http.feature
+++ b/features/platform/http.feature
@@ -19,3 +19,19 @@
     When 12 calls are sent together, 5 times
     Then a call is answered
     And 3 connections were opened at most
+
+  Scenario: A connection that the platform closes after a reply is replaced
+    Given a client of 3 connections to a platform that never answers "/hold"
+    And the platform closes each connection after its reply
+    When 3 calls are sent one after the other
+    Then a call is answered
+    And 4 calls were answered on as many connections
+
+  Scenario: Calls one after the other use one connection
+    Given a client of 3 connections to a platform that never answers "/hold"
+    When 5 calls are sent one after the other
+    Then a call is answered
+    And 1 connections were opened at most
+
+  Scenario: A request is sent in one write
+    Then a head and a body that are written one after the other are sent at once
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -3,11 +3,13 @@
 import contextlib
 import time
 
+import httpcore
 import trio
 from behave import given, then, when
 
 from cyclamentrack.timeouts import LagAwareTimeouts
 from cyclamentrack_platform.http import HttpClient, NoAnswerError
+from cyclamentrack_platform.streams import OneWriteStream
 from features.harness.wire import WireServer
 
 _LONG_TIMEOUT_S = 30.0
@@ -130,3 +132,49 @@
         await client.close()
 
     trio.run(main)
+
+
+@given('the platform closes each connection after its reply')
+def close_after_reply(context):
+    context.wire.closes_after_reply = True
+
+
+@when('{count:d} calls are sent one after the other')
+def send_in_turn(context, count):
+    async def run(client):
+        for _ in range(count):
+            await client.call('POST', '/a', body={}, timeout_s=_LONG_TIMEOUT_S)
+
+    context.script.append(run)
+
+
+@then('{count:d} calls were answered on as many connections')
+def check_replaced(context, count):
+    assert len(context.wire.calls) == count, context.wire.calls
+    assert context.wire.connections == count, context.wire.connections
+
+
+class _RecordingStream(httpcore.AsyncMockStream):
+    def __init__(self):
+        super().__init__([b'reply'])
+        self.writes = []
+
+    async def write(self, buffer, timeout=None):
+        del timeout
+        self.writes.append(bytes(buffer))
+
+
+@then('a head and a body that are written one after the other are sent at once')
+def check_one_write(context):
+    del context
+    recorder = _RecordingStream()
+
+    async def exchange():
+        stream = OneWriteStream(recorder)
+        await stream.write(b'head ')
+        await stream.write(b'body')
+        assert recorder.writes == [], recorder.writes
+        return await stream.read(100)
+
+    assert trio.run(exchange) == b'reply'
+    assert recorder.writes == [b'head body'], recorder.writes
