Store jobs in 64 parts of a pool, so that a slow store still accepts a burst

Jobs now have 64 parts, chosen by a hash of the id. A new owner reads the parts that hold rows, as the store lists them, also those that earlier versions used.

The stand-in carries out the transactions of a part in turn.

--- a/features/jobs/partial_outage.feature
+++ b/features/jobs/partial_outage.feature
@@ -112,7 +112,7 @@
     Then another node owns the pool "stage"
 
   Scenario: A job is admitted after lost history although others are unanswered
-    Given the store doesn't answer for the rows of jobs with the first digit
+    Given the store doesn't answer for the rows of jobs of the first part
     When every node loses the history of the store
     And a node stores a job and dies
     And 4 seconds go by
--- a/features/steps/partial_outage_steps.py
+++ b/features/steps/partial_outage_steps.py
@@ -8,7 +8,13 @@
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.model import Job, JobId, QueueName, TaskName
 from cyclamentrack.jobs.ports import RowKey
-from cyclamentrack.jobs.records import CLAIMS, all_jobs_parts, job_key
+from cyclamentrack.jobs.records import (
+    CLAIMS,
+    JOBS,
+    all_jobs_parts,
+    job_key,
+    jobs_part,
+)
 from cyclamentrack.jobs.registry import placements
 from cyclamentrack.jobs.service import RequestOutcome
 from cyclamentrack.metrics import Metrics
@@ -16,6 +22,8 @@
 from features.harness.asgi import call_app
 from features.harness.jobworld import POOL, make_queue, make_step
 
+_LATER_JOB = JobId('7000000000000001')
+
 
 def _world(context):
     return context.jobs
@@ -190,15 +198,23 @@
     assert owners - {context.former_owner}, owners
 
 
-@given("the store doesn't answer for the rows of jobs with the first digit")
-def leave_digit_unanswered(context):
-    _world(context).rows.unanswered_parts.add(all_jobs_parts(POOL)[0])
+@given("the store doesn't answer for the rows of jobs of the first part")
+def leave_part_unanswered(context):
+    first = all_jobs_parts(POOL)[0]
+    row = RowKey(JOBS, first, '00000000000000ee/cancel')
+    _world(context).loop.run(_put, _world(context).rows, row)
+    _world(context).rows.unanswered_parts.add(first)
+    assert jobs_part(POOL, _LATER_JOB) != first
+
+
+async def _put(rows, key):
+    rows.put(key, b'1')
 
 
 @when('a node stores a job and dies')
 def store_unannounced(context):
     world = _world(context)
-    context.job = JobId('7000000000000001')
+    context.job = _LATER_JOB
 
     async def store():
         job = Job(
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -1,5 +1,7 @@
 """In-memory row store with versions, change feeds and injected faults."""
 
+import bisect
+import operator
 from collections.abc import Callable
 
 import trio
@@ -21,6 +23,7 @@
 _CALL_DELAY_S = 0.004
 _LOST_REPLY_S = 1.0
 _LATE_WRITE_S = 3.0
+_MAX_QUEUE_S = 1.0
 
 
 class MemoryRows:
@@ -30,7 +33,9 @@
     parts of tables, and ``unanswered_scans`` some scans. ``refused_nodes``
     get a refusal and ``reset_nodes`` a reset connection. ``lost_replies`` and
     ``delayed_writes`` count the writes to come whose reply is lost, or which
-    are applied only after seconds.
+    are applied only after seconds. With ``transaction_s`` the transactions of a
+    part take so long, one after another; while more than one second of them
+    wait, others are refused.
     """
 
     def __init__(self) -> None:
@@ -46,9 +51,11 @@
         self.delayed_writes = 0
         self.feed_delay_s = 0.0
         self.reply_delay_s = 0.0
+        self.transaction_s = 0.0
         self.commits = 0
         self.history_from = 0
         self.on_commit: Callable[[Batch], None] | None = None
+        self._part_free_at: dict[str, float] = {}
         self._history: list[tuple[int, RowKey, StoredRow | None]] = []
         self._written = trio.Event()
 
@@ -87,10 +94,13 @@
 
     def changes(self, table: str, after: int) -> Changes:
         """Return the latest change of each row of a table after a version."""
+        first = bisect.bisect_right(
+            self._history, after, key=operator.itemgetter(0)
+        )
         newest = {
             key: row
-            for version, key, row in self._history
-            if version > after and key.table == table
+            for _, key, row in self._history[first:]
+            if key.table == table
         }
         return Changes(
             rows=tuple(row for row in newest.values() if row is not None),
@@ -103,6 +113,17 @@
         changes = self.changes(table, after)
         return bool(changes.rows or changes.removed)
 
+    async def take_turn(self, part: str) -> None:
+        """Wait for a transaction's turn in its part, and carry it out."""
+        if not self.transaction_s:
+            return
+        now = trio.current_time()
+        begins = max(self._part_free_at.get(part, now), now)
+        if begins - now > _MAX_QUEUE_S:
+            raise StoreRefusedError(status=429)
+        self._part_free_at[part] = begins + self.transaction_s
+        await trio.sleep_until(begins + self.transaction_s)
+
     async def wait_for_change(self) -> None:
         """Wait until the next write to any table."""
         await self._written.wait()
@@ -133,6 +154,7 @@
         """Apply a batch; a fault may delay it or lose its reply."""
         await self._begin_call(_part_of(batch))
         rows = self._rows
+        await rows.take_turn(_part_of(batch))
         rows.commits += 1
         if rows.on_commit is not None:
             rows.on_commit(batch)
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -16,13 +16,13 @@
     Batch,
     HistoryLostError,
     Page,
+    PartNames,
     StoredRow,
     StoreRefusedError,
 )
 from cyclamentrack.jobs.records import (
     JOBS,
     STEPS,
-    all_jobs_parts,
     cancel_key,
     cancelled_job,
     closed_key,
@@ -86,11 +86,12 @@
         """Follow submitted and cancelled jobs, until cancelled."""
         await self._follow_feed(version)
         while True:
-            version = await self._feed_version()
+            await trio.sleep(_FEED_RETRY_S)
+            found = await self._list_parts()
             async with trio.open_nursery() as nursery:
-                for part in all_jobs_parts(self._owner.claim.pool):
+                for part in self._parts_of_pool(found):
                     nursery.start_soon(self._read_part, part)
-                await self._follow_feed(version)
+                await self._follow_feed(found.version)
                 nursery.cancel_scope.cancel()
 
     def apply_stored_job(self, job: Job) -> None:
@@ -155,33 +156,35 @@
             self._owner.wake()
             await trio.sleep(_FEED_GAP_S)
 
-    async def _feed_version(self) -> int:
-        """Return the current version of the jobs, without reading any job."""
+    async def _list_parts(self) -> PartNames:
+        """Return the parts that hold jobs, and the version to follow."""
         while True:
-            await trio.sleep(_FEED_RETRY_S)
             try:
-                return (await self._store.parts(table=JOBS)).version
+                return await self._store.parts(table=JOBS)
             except (StoreUncertainError, StoreRefusedError) as error:
-                _log.warning('following jobs failed, retrying: %s', error)
+                _log.warning('parts of jobs not listed, retrying: %s', error)
+            await trio.sleep(_FEED_RETRY_S)
 
-    async def _read_jobs(self) -> int:
-        """Read all jobs of the pool; return the lowest version of the pages."""
-        versions: list[int] = []
+    def _parts_of_pool(self, found: PartNames) -> list[str]:
+        pool = self._owner.claim.pool
+        return [part for part in found.names if pool_of_part(part) == pool]
 
-        async def read(part: str) -> None:
-            versions.append(await self._read_part(part))
+    async def _read_jobs(self) -> int:
+        """Read all jobs of the pool; return the version to follow.
 
+        Jobs in parts that are created meanwhile come with the feed.
+        """
+        found = await self._list_parts()
         async with trio.open_nursery() as nursery:
-            for part in all_jobs_parts(self._owner.claim.pool):
-                nursery.start_soon(read, part)
-        return min(versions)
+            for part in self._parts_of_pool(found):
+                nursery.start_soon(self._read_part, part)
+        return found.version
 
-    async def _read_part(self, part: str) -> int:
+    async def _read_part(self, part: str) -> None:
         page = await self._scan(JOBS, part)
         for row in page.rows:
             self._apply_row(row)
         self._owner.wake()
-        return page.version
 
     async def _scan(self, table: str, part: str) -> Page:
         while True:
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -1,5 +1,7 @@
 """Row keys of the job cell, and the rows that it stores besides jobs."""
 
+import zlib
+
 import msgspec
 
 from cyclamentrack.ids import PoolName
@@ -19,6 +21,9 @@
 
 _CANCEL_MARK = '/cancel'
 _PART_MARK = '/'
+# A store that takes 40 times its usual 4 ms still accepts 400 jobs a second.
+# A new owner reads each part that holds rows.
+_JOBS_PARTS = 64
 
 
 class Lease(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -55,12 +60,14 @@
 
 
 def jobs_part(pool: PoolName, job: JobId) -> str:
-    """Return the part that a job's rows belong to, one of 16 of its pool.
+    """Return the part that a job's rows belong to, one of many of its pool.
 
-    Jobs have parts of their own so that accepting one never waits behind the
-    slice's journal, nor behind many other jobs when the store is slow.
+    The store carries out the writes of a part one after another. Jobs have
+    parts of their own so that accepting one never waits behind the slice's
+    journal, nor behind many other jobs when the store is slow.
     """
-    return f'{pool}{_PART_MARK}{job[0]}'
+    number = zlib.crc32(job.encode()) % _JOBS_PARTS
+    return f'{pool}{_PART_MARK}{number:02x}'
 
 
 def pool_of_part(part: str) -> PoolName:
@@ -69,8 +76,8 @@
 
 
 def all_jobs_parts(pool: PoolName) -> list[str]:
-    """Return all parts that hold jobs of a pool."""
-    return [f'{pool}{_PART_MARK}{digit}' for digit in '0123456789abcdef']
+    """Return all parts that jobs of a pool are stored in."""
+    return [f'{pool}{_PART_MARK}{number:02x}' for number in range(_JOBS_PARTS)]
 
 
 def job_key(pool: PoolName, job: JobId) -> RowKey:
