Wait for the server's close before the test's next call

The scenario is about a connection whose end can be seen, so its step now waits until the server has closed it. The checks are the same.

--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -23,6 +23,7 @@
         self.calls = []
         self.connections = 0
         self.closes_after_reply = False
+        self.closed = 0
         self.address = ''
         self._started = threading.Event()
         self._token = None
@@ -73,6 +74,7 @@
             await stream.send_all(_response(*answer))
             if self.closes_after_reply:
                 await stream.aclose()
+                self.closed += 1
                 return
 
     async def _read_request(self, stream, buffer):
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -142,12 +142,19 @@
 @when('{count:d} calls are sent one after the other')
 def send_in_turn(context, count):
     async def run(client):
-        for _ in range(count):
+        for number in range(count):
             await client.call('POST', '/a', body={}, timeout_s=_LONG_TIMEOUT_S)
+            await _wait_until_closed(context.wire, number + 1)
 
     context.script.append(run)
 
 
+async def _wait_until_closed(wire, count):
+    """Wait for the server to close, or the next call could still be sent."""
+    while wire.closes_after_reply and wire.closed < count:
+        await trio.sleep(_SHORT_TIMEOUT_S / 10)
+
+
 @then('{count:d} calls were answered on as many connections')
 def check_replaced(context, count):
     assert len(context.wire.calls) == count, context.wire.calls
