Never remove a job's records before its final state is stored

The removal of a closed job's step rows took the place of writes that were queued for them, ahead of the job's final state. With more rows queued than one commit holds, as after 3 s without a reply of the store, the removal was committed first; an owner that lost the slice in between left the job's row alone, and the next owner ran the job from the beginning. The same way a job that was done could run twice.

The final state now takes the place of the first queued write to one of the step rows, so callers that wait for that write wait for it, and the rows are removed after it.

--- a/features/jobs/journal.feature
+++ b/features/jobs/journal.feature
@@ -11,3 +11,11 @@
     When another owner replaces the head row
     And row "a" is put
     Then the journal reports that its slice is lost
+
+  # A new owner that finds neither a job's final state nor the records of its
+  # steps starts the job from the beginning.
+  Scenario: A job's records are not removed before its final state is stored
+    Given a journal whose store takes 1 second for a commit
+    When a job with a queued record is closed while 150 other rows are queued
+    Then the store has its records or its final state after each commit
+    And the wait for its record ended only after its final state was stored
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -114,3 +114,56 @@
     world = context.jobs
     world.loop.sleep(3)
     assert world.lost
+
+
+_RECORD = RowKey('journal', 'p', 'job.0.0')
+_FINAL_STATE = RowKey('journal', 'p', 'job')
+
+
+@when(
+    'a job with a queued record is closed while {count:d} other rows are queued'
+)
+def close_job(context, count):
+    world = context.jobs
+    context.commits = []
+    context.waited_until = None
+
+    async def note_commits():
+        while not context.commits or _RECORD in context.commits[-1][1]:
+            version = world.rows.version
+            context.commits.append((version, set(world.rows.rows)))
+            while world.rows.version == version:
+                await trio.sleep(0.1)
+
+    async def wait():
+        await world.journal.flushed()
+        context.waited_until = _FINAL_STATE in world.rows.rows
+
+    async def close():
+        journal = world.journal
+        world.rows.put(_RECORD, b'run 1')
+        world.loop.nursery.start_soon(note_commits)
+        journal.put(RowKey('journal', 'p', 'first'), b'x')
+        await trio.sleep(0.5)
+        journal.put(_RECORD, b'run 2')
+        world.loop.nursery.start_soon(wait)
+        await trio.sleep(0.1)
+        for number in range(count):
+            journal.put(RowKey('journal', 'p', f'other-{number}'), b'x')
+        journal.supersede([_RECORD], key=_FINAL_STATE, body=b'failed')
+
+    world.loop.run(close)
+    world.loop.sleep(6)
+
+
+@then('the store has its records or its final state after each commit')
+def check_records(context):
+    assert _FINAL_STATE in context.commits[-1][1], context.commits
+    assert _RECORD not in context.commits[-1][1], context.commits
+    for version, keys in context.commits:
+        assert keys & {_RECORD, _FINAL_STATE}, version
+
+
+@then('the wait for its record ended only after its final state was stored')
+def check_waited(context):
+    assert context.waited_until is True
--- a/packages/cyclamentrack/cyclamentrack/jobs/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/journal.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+from collections.abc import Sequence
 
 import msgspec
 import trio
@@ -101,6 +102,28 @@
         self._pending[key] = (number, body)
         self._wake.set()
 
+    def supersede(
+        self, keys: Sequence[RowKey], *, key: RowKey, body: bytes
+    ) -> None:
+        """Queue a row, and the removal of rows that it makes needless.
+
+        The rows are never removed before it is stored, also if a write to one
+        of them is queued already and the commits end in between. It takes the
+        place of the first such write, so callers that wait for that wait for
+        this row.
+        """
+        queued = [
+            self._pending.pop(one)[0] for one in keys if one in self._pending
+        ]
+        self.put(key, body)
+        if queued:
+            self._pending[key] = (min(queued), body)
+            self._pending = dict(
+                sorted(self._pending.items(), key=_queue_number)
+            )
+        for one in keys:
+            self.put(one, None)
+
     async def flushed(self) -> None:
         """Wait until all writes queued before this call are stored."""
         if not self._pending and self.commit_began_at is None:
@@ -193,3 +216,7 @@
         if row is None or decode(row.body, Head) != head:
             raise OwnershipLostError(part=self._part)
         return row.version
+
+
+def _queue_number(item: tuple[RowKey, tuple[int, bytes | None]]) -> int:
+    return item[1][0]
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -261,9 +261,12 @@
             entry, state=state, wall_s=self._dependencies.wall_clock()
         )
         pool = self.claim.pool
-        self.journal.put(closed_key(pool, entry.job.id), encode(closed))
+        self.journal.supersede(
+            [step_key(pool, step.name) for step in entry.steps.values()],
+            key=closed_key(pool, entry.job.id),
+            body=encode(closed),
+        )
         for step in entry.steps.values():
-            self.journal.put(step_key(pool, step.name), None)
             self._forget_permits(step)
         for placement in entry.placed:
             self.stop_run(placement)
