Remove and find jobs also in the parts of earlier versions

Found on reading the change once more: jobs have 64 parts since, and an owner recovers those of the 16 former parts too, but after the status time it removed only the row in the new part. A job that an earlier version had stored kept its row without a final state, and the next owner ran it again. A node that asked the store for such a job's state also found none.

Both rows are removed before the final state is, and the state is looked up in the former part when the new one has none. The new scenario of features/jobs/slow_store.feature counted two starts of the task before and counts one now. features/jobs: 82 passed, 0 failed.

--- a/features/jobs/slow_store.feature
+++ b/features/jobs/slow_store.feature
@@ -16,3 +16,12 @@
     And the owner is killed
     And 8 seconds go by
     Then the job is shown as "completed" by every node
+
+  Scenario: A job in a part of earlier versions doesn't run again after its status time
+    Given a job cell of 3 nodes and 4 workers
+    When a job is stored in a part that earlier versions used
+    And 3 seconds go by
+    And 140 seconds go by
+    And the owner is killed
+    And 8 seconds go by
+    Then each of its tasks was started 1 time at most
--- a/features/steps/slow_store_steps.py
+++ b/features/steps/slow_store_steps.py
@@ -69,7 +69,7 @@
     context.job = job.id
 
     async def store():
-        key = RowKey(JOBS, f'{POOL}/0', job.id)
+        key = RowKey(JOBS, f'{POOL}/{job.id[0]}', job.id)
         world.rows.put(key, encode(job))
 
     world.loop.run(store)
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -26,6 +26,7 @@
     cancel_key,
     cancelled_job,
     closed_key,
+    former_job_keys,
     job_key,
     pool_of_part,
 )
@@ -252,10 +253,14 @@
         self._owner.journal.put(closed_key(self._owner.claim.pool, job), None)
 
     async def _remove_job(self, job: JobId) -> bool:
-        """Remove a job's own rows; return whether that succeeded."""
+        """Remove a job's own rows; return whether that succeeded.
+
+        An earlier version may have stored them in another part.
+        """
         pool = self._owner.claim.pool
         rows = (job_key(pool, job), cancel_key(pool, job))
         try:
+            await self._store.commit(Batch(removes=former_job_keys(pool, job)))
             await self._store.commit(Batch(removes=rows))
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.info('expired job not removed job=%s: %s', job, error)
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -95,6 +95,15 @@
     return RowKey(JOBS, jobs_part(pool, job), f'{job}{_CANCEL_MARK}')
 
 
+def former_job_keys(pool: PoolName, job: JobId) -> tuple[RowKey, RowKey]:
+    """Return the job's and its cancellation's keys of earlier versions.
+
+    These had 16 parts, by the first digit of the job's id.
+    """
+    part = f'{pool}{_PART_MARK}{job[0]}'
+    return RowKey(JOBS, part, job), RowKey(JOBS, part, f'{job}{_CANCEL_MARK}')
+
+
 def cancelled_job(key: RowKey) -> JobId | None:
     """Return the job that a row cancels, or ``None`` for other rows."""
     if key.key.endswith(_CANCEL_MARK):
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -46,7 +46,7 @@
     job_batch,
 )
 from cyclamentrack.jobs.ports import StoreRefusedError
-from cyclamentrack.jobs.records import closed_key, job_key
+from cyclamentrack.jobs.records import closed_key, former_job_keys, job_key
 from cyclamentrack.jobs.registry import Closed
 
 _log = logging.getLogger(__name__)
@@ -284,6 +284,9 @@
         try:
             closed = await self._store.read(closed_key(pool, job))
             row = await self._store.read(job_key(pool, job))
+            if row is None:
+                former, _ = former_job_keys(pool, job)
+                row = await self._store.read(former)
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.warning('job state not read job=%s: %s', job, error)
             return ShownState(known=False)
