--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -3,6 +3,9 @@
 The page scales the costs to the fleet that is expected in two years. Run
 ``python -m bench NAME --json > bench/results/NAME.json`` for ``decide``,
 ``path``, ``control`` and ``recover`` first, then ``python -m bench.capacity``.
+
+``bench/results/sweep.json`` holds what ``fleetbench sweep`` printed for the large
+deployment: the job cell with 31, 99 and 298 instances.
 """
 
 from pathlib import Path
@@ -41,7 +44,40 @@
     return msgspec.json.decode(body, type=Report)
 
 
-def build_page(reports: dict[str, Report]) -> str:
+class SweepRow(msgspec.Struct, kw_only=True):
+    """One quantity of a node by the number of instances.
+
+    ``middle`` and ``busiest`` are those of the median and of the busiest node.
+    The busiest grows as the instances to the ``power``, which gives the value
+    ``at_target``.
+    """
+
+    what: str
+    middle: list[float]
+    busiest: list[float]
+    power: float
+    at_target: float
+
+
+class Sweep(msgspec.Struct, kw_only=True):
+    """What the users' bench measured at several sizes of one deployment."""
+
+    commit: str
+    target: int
+    machines: list[int]
+    workers: list[int]
+    served: list[float]
+    verdict: list[str]
+    rows: list[SweepRow]
+
+
+def load_sweep() -> Sweep:
+    """Return the stored sweep."""
+    body = (_RESULTS / 'sweep.json').read_bytes()
+    return msgspec.json.decode(body, type=Sweep)
+
+
+def build_page(reports: dict[str, Report], sweep: Sweep) -> str:
     """Return the text of the page.
 
     Every figure comes from a report or from the constants above.
@@ -171,6 +207,10 @@
         '## Where it breaks first',
         '',
         *_limit_lines(control, cell_daemons, sync_share),
+        '',
+        '## The job cell by the number of instances',
+        '',
+        *_sweep_lines(sweep),
     ]
     return ''.join(f'{line}\n' for line in lines)
 
@@ -198,6 +238,37 @@
     ]
 
 
+def _sweep_lines(sweep: Sweep) -> list[str]:
+    sizes = [
+        f'{machines} instances, {workers:,} workers'
+        for machines, workers in zip(sweep.machines, sweep.workers, strict=True)
+    ]
+    return [
+        f'`fleetbench sweep` of the large deployment, commit {sweep.commit}, arm64.',
+        'One role, `node`; each cell has the median and the busiest node. The last',
+        f'column carries the slope of the busiest node on to {sweep.target:,} instances.',
+        '',
+        f'| what | {" | ".join(sizes)} | grows as instances to the | then |',
+        '|---|---|---|---|---|---|',
+        *(_sweep_row(row) for row in sweep.rows),
+        f'| share served | {" | ".join(f"{one:g}" for one in sweep.served)} | | |',
+        f'| verdict | {" | ".join(sweep.verdict)} | | |',
+        '',
+        'What breaks first is the owner of a pool: one process has a connection to',
+        'each worker and sends each poll, start and stop. The median node hardly',
+        'changes with the number of instances. `docs/platform.md` weighs how a pool',
+        'can be carried by many.',
+    ]
+
+
+def _sweep_row(row: SweepRow) -> str:
+    cells = ' | '.join(
+        f'{middle:g} / {busiest:g}'
+        for middle, busiest in zip(row.middle, row.busiest, strict=True)
+    )
+    return f'| {row.what} | {cells} | {row.power:g} | {row.at_target:,g} |'
+
+
 def _row(what: str, figure: float, carrier: str, name: str) -> str:
     return f'| {what} | {figure:,.3g} | {carrier} | `bench {name}` |'
 
@@ -205,7 +276,7 @@
 def main() -> None:
     """Write the page from the stored reports."""
     reports = {name: load(name) for name in _NAMES}
-    _PAGE.write_text(build_page(reports), encoding='utf-8')
+    _PAGE.write_text(build_page(reports, load_sweep()), encoding='utf-8')
 
 
 if __name__ == '__main__':
