--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -18,6 +18,7 @@
     LeaseTracker,
     claim_slice,
 )
+from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import Journal, OwnershipLostError
 from cyclamentrack.jobs.messages import (
     AskPermits,
@@ -136,6 +137,8 @@
         self.owners: dict[PoolName, SliceOwner] = {}
         self.members: dict[str, Member] = {}
         self.lease_tracker = LeaseTracker(store=dependencies.store)
+        self.configuration_feed = FeedHealth(name='configuration')
+        self.members_feed = FeedHealth(name='members')
         self.leaving = False
         self._nursery: trio.Nursery | None = None
         self._permit_call_lock = trio.Lock()
@@ -337,6 +340,7 @@
         await self._follow(
             tables.configuration,
             _CONFIGURATION_WAIT_S,
+            self.configuration_feed,
             _TableHandlers(
                 apply=lambda rows: [
                     self._apply_configuration(row)
@@ -365,6 +369,7 @@
         await self._follow(
             MEMBERS,
             _MEMBERS_WAIT_S,
+            self.members_feed,
             _TableHandlers(
                 apply=lambda rows: [self._apply_member(row) for row in rows],
                 remove=lambda keys: [
@@ -396,6 +401,7 @@
         self,
         table: str,
         wait_s: float,
+        feed: FeedHealth,
         handlers: '_TableHandlers',
     ) -> None:
         """Read a table that has a single part, then follow its changes.
@@ -414,12 +420,14 @@
                 changes = await self.dependencies.store.follow(
                     table=table, after=version, wait_s=wait_s
                 )
-            except (StoreUncertainError, StoreRefusedError):
+            except (StoreUncertainError, StoreRefusedError) as error:
+                feed.note_failure(error)
                 await trio.sleep(_RETRY_S)
                 continue
             except HistoryLostError:
                 version = None
                 continue
+            feed.note_answer()
             version = changes.version
             handlers.apply(changes.rows)
             handlers.remove(changes.removed)
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
@@ -0,0 +1,50 @@
+"""Health of the change feeds that a node follows in the store."""
+
+import logging
+
+import trio
+
+_log = logging.getLogger(__name__)
+
+
+class FeedHealth:
+    """Whether the store answers a feed, and when it did so last.
+
+    The first failure in a row and the answer that ends it are logged. Times
+    are in seconds of trio's clock.
+    """
+
+    def __init__(self, *, name: str) -> None:
+        """Start as a feed that was never answered."""
+        self._name = name
+        self._answered_at: float | None = None
+        self._lost_at: float | None = None
+        self._failures = 0
+
+    @property
+    def age_s(self) -> float | None:
+        """Seconds since the last answer, ``None`` before the first one."""
+        if self._answered_at is None:
+            return None
+        return trio.current_time() - self._answered_at
+
+    def note_answer(self) -> None:
+        """Record an answer, including one without changes."""
+        self._answered_at = trio.current_time()
+        if self._lost_at is None:
+            return
+        _log.info(
+            'feed regained feed=%s after_s=%.1f failures=%d',
+            self._name,
+            self._answered_at - self._lost_at,
+            self._failures,
+        )
+        self._lost_at = None
+        self._failures = 0
+
+    def note_failure(self, error: Exception) -> None:
+        """Record a call without a usable answer."""
+        self._failures += 1
+        if self._lost_at is None:
+            self._lost_at = trio.current_time()
+            _log.warning('feed lost feed=%s: %s', self._name, error)
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -10,6 +10,7 @@
 
 from cyclamentrack.codec import decode
 from cyclamentrack.errors import StoreUncertainError
+from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import HEAD
 from cyclamentrack.jobs.model import Job, JobId, JobState, Queue
 from cyclamentrack.jobs.ports import (
@@ -59,6 +60,7 @@
         self._owner = owner
         self._dependencies = dependencies
         self._store = dependencies.store
+        self._health = FeedHealth(name='jobs')
 
     async def recover(self) -> int:
         """Read the registry of earlier owners; return the version to follow."""
@@ -145,11 +147,13 @@
                 changes = await self._store.follow(
                     table=JOBS, after=version, wait_s=_FEED_WAIT_S
                 )
-            except (StoreUncertainError, StoreRefusedError):
+            except (StoreUncertainError, StoreRefusedError) as error:
+                self._health.note_failure(error)
                 await trio.sleep(_FEED_RETRY_S)
                 continue
             except HistoryLostError:
                 return
+            self._health.note_answer()
             version = changes.version
             for row in changes.rows:
                 if pool_of_part(row.key.part) == self._owner.claim.pool:
--- a/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
@@ -9,6 +9,7 @@
 
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.ports import (
     Changes,
@@ -51,6 +52,7 @@
         self._store = dependencies.store
         self._contact_limiter = trio.CapacityLimiter(_CONCURRENT_CONTACTS)
         self._listed = trio.Event()
+        self._health = FeedHealth(name='workers')
 
     async def follow(self) -> None:
         """Follow the list until cancelled."""
@@ -65,12 +67,14 @@
                 changes = await self._store.follow(
                     table=table, after=version, wait_s=_FEED_WAIT_S
                 )
-            except (StoreUncertainError, StoreRefusedError):
+            except (StoreUncertainError, StoreRefusedError) as error:
+                self._health.note_failure(error)
                 await trio.sleep(_FEED_RETRY_S)
                 continue
             except HistoryLostError:
                 version = None
                 continue
+            self._health.note_answer()
             version = changes.version
             self._apply_changes(changes)
             await trio.sleep(_FEED_GAP_S)
