--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -16,12 +16,14 @@
     ``None``, the server closes the connection without a reply; if it is
     ``'silent'``, it never replies. Paths without an answer get status 404. A
     server that ``closes_after_reply`` doesn't keep a connection for more calls.
+    The first ``silent_connections`` get no further replies and stay open.
     """
 
     def __init__(self):
         self.answers = {}
         self.calls = []
         self.connections = 0
+        self.silent_connections = 0
         self.closes_after_reply = False
         self.closed = 0
         self.address = ''
@@ -53,9 +55,9 @@
         """Answer the requests of a connection until it is closed or broken."""
         self.connections += 1
         with contextlib.suppress(trio.BrokenResourceError):
-            await self._answer_each(stream)
+            await self._answer_each(stream, self.connections)
 
-    async def _answer_each(self, stream):
+    async def _answer_each(self, stream, number):
         buffer = b''
         while True:
             request = await self._read_request(stream, buffer)
@@ -66,7 +68,7 @@
             path = target.partition('?')[0]
             self.calls.append((target, json.loads(body or b'null'), head))
             answer = self.answers.get(path, (404, {}))
-            if answer == 'silent':
+            if answer == 'silent' or number <= self.silent_connections:
                 await trio.sleep_forever()
             if answer is None:
                 await stream.aclose()
--- a/features/platform/http.feature
+++ b/features/platform/http.feature
@@ -35,3 +35,16 @@
 
   Scenario: A request is sent in one write
     Then a head and a body that are written one after the other are sent at once
+
+  Scenario: Idle connections that have all gone silent cost one lost call
+    Given a client of 8 connections to a platform that never answers "/hold"
+    When 8 calls are sent together, 1 times
+    And all open connections go silent
+    Then at most 1 call is lost until one is answered
+    And 9 connections were opened
+
+  Scenario: A connection that has carried a reply just before a lost call is kept
+    Given a client of 3 connections to a platform that never answers "/hold"
+    When a call to "/hold" is cancelled just after another one was answered
+    Then a call is answered
+    And 2 connections were opened
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -5,6 +5,7 @@
 
 import httpcore
 import trio
+import trio.testing
 from behave import given, then, when
 
 from cyclamentrack.timeouts import LagAwareTimeouts
@@ -14,6 +15,7 @@
 
 _LONG_TIMEOUT_S = 30.0
 _SHORT_TIMEOUT_S = 0.05
+_LOST_S = 1.0
 _LAPS = 3
 
 
@@ -155,6 +157,50 @@
         await trio.sleep(_SHORT_TIMEOUT_S / 10)
 
 
+@when('all open connections go silent')
+def silence_connections(context):
+    async def run(client):
+        del client
+        context.wire.silent_connections = context.wire.connections
+
+    context.script.append(run)
+
+
+@when('a call to "{path}" is cancelled just after another one was answered')
+def cancel_beside_answer(context, path):
+    async def run(client):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call, client, path, _LONG_TIMEOUT_S)
+            await trio.testing.wait_all_tasks_blocked()
+            await client.call('POST', '/a', body={}, timeout_s=_LONG_TIMEOUT_S)
+            nursery.cancel_scope.cancel()
+
+    context.script.append(run)
+
+
+@then('at most {count:d} call is lost until one is answered')
+def check_lost_calls(context, count):
+    async def main():
+        client = context.make()
+        for run in context.script:
+            await run(client)
+        for lost in range(context.wire.connections + 1):
+            try:
+                await client.call('POST', '/a', body={}, timeout_s=_LOST_S)
+            except NoAnswerError:
+                continue
+            assert lost <= count, lost
+            return
+        raise AssertionError('no call was answered')
+
+    trio.run(main)
+
+
+@then('{count:d} connections were opened')
+def check_opened(context, count):
+    assert context.wire.connections == count, context.wire.connections
+
+
 @then('{count:d} calls were answered on as many connections')
 def check_replaced(context, count):
     assert len(context.wire.calls) == count, context.wire.calls
