Close the daemon's idle connections too after a call without a reply

The connection pool of the daemon's platform client keeps idle connections that have gone silent, and each of them costs a call its timeout.

The scenario 'The daemon's idle connections that have all gone silent cost one lost call' failed before: 6 scans lost on 6 idle connections; now 1.

--- a/features/platform/http.feature
+++ b/features/platform/http.feature
@@ -48,3 +48,7 @@
     When a call to "/hold" is cancelled just after another one was answered
     Then a call is answered
     And 2 connections were opened
+
+  Scenario: The daemon's idle connections that have all gone silent cost one lost call
+    Given the daemon's client of a table service with 6 idle connections
+    Then at most 1 scan is lost after all connections have gone silent
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from cyclamentrack.timeouts import LagAwareTimeouts
+from cyclamentrack_daemon.platforms import HttpTable
 from cyclamentrack_platform.http import HttpClient, NoAnswerError
 from cyclamentrack_platform.streams import OneWriteStream
 from features.harness.wire import WireServer
@@ -231,3 +232,40 @@
 
     assert trio.run(exchange) == b'reply'
     assert recorder.writes == [b'head body'], recorder.writes
+
+
+@given("the daemon's client of a table service with {count:d} idle connections")
+def begin_table(context, count):
+    wire = WireServer()
+    context.add_cleanup(wire.close)
+    wire.answers['/v1/table/scan'] = (200, [])
+    context.wire = wire
+    context.idle = count
+
+
+@then('at most {count:d} scan is lost after all connections have gone silent')
+def check_lost_scans(context, count):
+    async def main():
+        pool = httpcore.AsyncConnectionPool(max_connections=context.idle)
+        base = f'http://{context.wire.address}/v1'
+        table = HttpTable(pool=pool, base=base)
+        async with trio.open_nursery() as nursery:
+            for _ in range(context.idle):
+                nursery.start_soon(_scan, table)
+        assert context.wire.connections == context.idle
+        context.wire.silent_connections = context.idle
+        lost = 0
+        while not await _scan(table):
+            lost += 1
+        assert lost <= count, lost
+        await pool.aclose()
+
+    trio.run(main)
+
+
+async def _scan(table):
+    """Scan the table; return whether it answered."""
+    with trio.move_on_after(_LOST_S):
+        await table.scan(prefix='', limit=1, after='')
+        return True
+    return False
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/platforms.py
@@ -117,11 +117,25 @@
     url: str,
     body: bytes = b'',
 ) -> _Reply:
-    response = await pool.request(method, url, headers=_JSON, content=body)
+    replied = False
+    try:
+        response = await pool.request(method, url, headers=_JSON, content=body)
+        replied = True
+    finally:
+        if not replied:
+            await _close_idle(pool)
     traffic.count_call(body, response.content)
     return _Reply(status=response.status, body=response.content)
 
 
+async def _close_idle(pool: httpcore.AsyncConnectionPool) -> None:
+    """Close the connections that no call uses; they may be silent."""
+    with trio.CancelScope(shield=True):
+        for connection in list(pool.connections):
+            if connection.is_idle():
+                await connection.aclose()
+
+
 async def _request(
     pool: httpcore.AsyncConnectionPool,
     method: str,
