Place a task again at once if its start could not be sent

Cause: a start order whose connection is refused was treated like one without an answer, so the task waited 6.6 to 9 s for the end of a lease that no worker ever got, and the crashed worker still counted as reachable for 2.6 s and was chosen again. Class: a failure that is known to be without effect is treated as an unknown one.

The scenario 'A task whose start could not be sent doesn't wait for a lease to end' failed with the former Launcher and passes now.

Change: a refused connection is an answer of its own (NOT_SENT). The task is idle again at once, and a worker whose connection was refused or closed gets no new runs until it has answered a poll.

--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -63,6 +63,13 @@
     Then the job is shown as "completed" by every node
     And the workers' record is clean
 
+  Scenario: A task whose start could not be sent doesn't wait for a lease to end
+    When every worker but one refuses connections
+    And a job of the steps "6" is submitted
+    And 3 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
   Scenario: Tasks of an unreachable worker wait until its lease ends
     When a job of the steps "4" of 5 seconds is submitted
     And 1 second goes by
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -60,6 +60,11 @@
     When a row is written
     Then the write conflicts with version 7
 
+  Scenario: A start on a refused connection was certainly not sent
+    Given a platform that no longer listens
+    When a run is started
+    Then the start's answer is "not sent"
+
   Scenario: A feed from a version that is too old reports lost history
     Given a platform that answers "/-/rows-feed" with 410 and reason ""
     When a feed is followed
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -57,6 +57,13 @@
     _server(context).answers[path] = None
 
 
+@given('a platform that no longer listens')
+def close_server(context):
+    server = WireServer()
+    server.close()
+    context.wire = server
+
+
 @given('a platform that never answers "{path}"')
 def set_silent(context, path):
     _server(context).answers[path] = 'silent'
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -131,6 +131,12 @@
         worker.unreachable = True
 
 
+@when('every worker but one refuses connections')
+def disconnect_workers(context):
+    for worker in list(_world(context).workers.workers.values())[1:]:
+        worker.disconnected = True
+
+
 @when('the store goes down in {seconds:g} seconds')
 def lose_store_soon(context, seconds):
     world = _world(context)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -74,7 +74,8 @@
 class MemoryWorker:
     """One worker, over all its incarnations.
 
-    An ``unreachable`` worker answers no call but goes on with its runs. Each
+    An ``unreachable`` worker answers no call but goes on with its runs, and one
+    that is ``disconnected`` refuses connections. Each
     of the next ``delayed_starts`` starts is left unanswered and carried out
     later. ``barred_runs`` has the highest run of each task that was stopped or
     ended; runs up to it can't start any more.
@@ -84,6 +85,7 @@
         """Start without runs."""
         self.entry = entry
         self.unreachable = False
+        self.disconnected = False
         self.fails_all = False
         self.slowness = 1.0
         self.delayed_starts = 0
@@ -337,6 +339,8 @@
         """Order a worker to start a run."""
         await trio.sleep(_CALL_DELAY_S)
         target = self._workers.workers[worker.id]
+        if target.disconnected:
+            return StartAnswer.NOT_SENT
         if target.unreachable:
             await trio.sleep(order.answer_s)
             return StartAnswer.NO_ANSWER
@@ -395,6 +399,8 @@
     async def _reach(self, worker: WorkerEntry) -> MemoryWorker:
         await trio.sleep(_CALL_DELAY_S)
         target = self._workers.workers[worker.id]
+        if target.disconnected:
+            raise WorkerUnreachableError(worker=worker.id, disconnected=True)
         if target.unreachable:
             await trio.sleep(_UNREACHABLE_S)
             raise WorkerUnreachableError(worker=worker.id)
--- a/packages/cyclamentrack/cyclamentrack/errors.py
+++ b/packages/cyclamentrack/cyclamentrack/errors.py
@@ -103,14 +103,19 @@
 
 
 class WorkerUnreachableError(CyclamentrackError):
-    """A worker did not answer in time."""
+    """A worker did not answer in time.
 
-    def __init__(self, *, worker: str) -> None:
+    ``disconnected`` is set if its address refused or closed the connection, as
+    it does after a crash.
+    """
+
+    def __init__(self, *, worker: str, disconnected: bool = False) -> None:
         """Name the worker."""
         super().__init__(
             message=f'worker {worker} did not answer',
             remedy='repeat the request on a new connection',
         )
+        self.disconnected = disconnected
 
 
 class WorkerRefusedError(CyclamentrackError):
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -43,7 +43,8 @@
 
     Times are steady seconds except ``clock_ms``, which is on the worker's
     clock. ``slowness`` is the ratio of the time that runs take on this worker
-    to their typical time.
+    to their typical time. A refused or closed connection makes the worker
+    ``disconnected`` until its next answer.
     """
 
     entry: WorkerEntry
@@ -60,6 +61,7 @@
     clock_at: float = 0.0
     lease_sent_at: float = 0.0
     heard_at: float = 0.0
+    disconnected: bool = False
     failures: int = 0
     quarantined_until: float = 0.0
     retired: bool = False
@@ -84,12 +86,13 @@
     def present(self, *, now: float, unreachable_after_s: float) -> bool:
         """Return whether the worker accepts new runs, quarantined or not."""
         known = self.listed and self.contacted and not self.retired
+        connected = not self.disconnected
         current = (
             self.incarnation == self.entry.incarnation and not self.unknown_runs
         )
         heard = now - self.heard_at < unreachable_after_s
         ready = self.entry.state is WorkerState.READY
-        return all((known, current, heard, ready))
+        return all((known, connected, current, heard, ready))
 
     def charge_run(self, *, task: TaskName, run: int, step: Step) -> None:
         """Charge the worker for a run."""
@@ -123,6 +126,7 @@
         self.clock_ms = clock_ms
         self.clock_at = now
         self.heard_at = now
+        self.disconnected = False
 
     def lease_until_ms(self, *, now: float, lease_s: float) -> int | None:
         """Return the end of a lease given now, on the worker's clock.
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -29,6 +29,8 @@
 _MAX_ATTEMPTS = 3
 _STOP_RETRY_S = 0.4
 _MILLISECONDS = 1000
+# An attempt that isn't sent tells nothing about an earlier one.
+_UNCERTAIN_ANSWERS = (StartAnswer.NO_ANSWER, StartAnswer.NOT_SENT)
 
 
 class Launcher:
@@ -57,7 +59,10 @@
         while _is_current(owner, placement) and not placement.stopping:
             worker = owner.fleet.workers[placement.worker]
             answer = await self._send_start(worker, placement, answer_s)
-            if answer is not StartAnswer.NO_ANSWER:
+            if answer is StartAnswer.NOT_SENT and not attempts:
+                self._apply_not_sent(worker, placement)
+                return
+            if answer not in _UNCERTAIN_ANSWERS:
                 self._apply_answer(
                     worker, placement, answer, earlier_unanswered=attempts > 0
                 )
@@ -74,6 +79,15 @@
         if placement.stopping and not attempts:
             owner.handle_lost_run(placement, why='stopped before its start')
 
+    def _apply_not_sent(self, worker: Worker, placement: Placement) -> None:
+        """Make the task idle at once; no worker can have its run."""
+        worker.disconnected = True
+        self._owner.metrics.count('starts_not_sent')
+        self._owner.handle_lost_run(
+            placement, why='its start could not be sent'
+        )
+        self._stop_gang(placement)
+
     async def _send_start(
         self, worker: Worker, placement: Placement, answer_s: float
     ) -> StartAnswer:
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -148,6 +148,7 @@
 
     ``NO_ANSWER`` means that there was no answer, so the run may start now or
     later; all others except ``STARTED`` mean that the run was not started.
+    ``NOT_SENT`` means that the worker could not be connected to.
     """
 
     STARTED = 'started'
@@ -160,6 +161,7 @@
     BUSY = 'busy'
     OTHER_INCARNATION = 'other life'
     NO_ANSWER = 'silent'
+    NOT_SENT = 'not sent'
 
 
 class StartOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -89,7 +89,8 @@
     async def _poll(self, sent_at: float) -> PollReport | None:
         try:
             return await self._send_poll(sent_at)
-        except WorkerUnreachableError:
+        except WorkerUnreachableError as error:
+            self._worker.disconnected |= error.disconnected
             return None
 
     async def _apply_answer(
