End the runs of a crashed worker once its instance runs another one

What callers saw: each task of a crashed worker stood still for 7 to 9 s, until the end of its lease, although the instance was back after 3.5 to 5 s.

Cause: a worker comes back under another id. The entry names the instance, which runs one worker at a time, but it was not read. So a crash could not be told from a worker that is cut off, which must be waited for.

Change: entries and stored task records carry the instance. When a worker has answered its first poll, the runs of former workers of its instance are dropped; the log says 'worker replaced'. A new owner finds them by the record. Records of earlier versions lack the field and are read as before.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -8,6 +8,7 @@
 from cyclamentrack.jobs.cell import CellDependencies, JobCell
 from cyclamentrack.jobs.model import (
     Configuration,
+    InstanceId,
     Job,
     JobId,
     PermitPolicy,
@@ -100,7 +101,13 @@
         )
 
     def add_worker(
-        self, number, *, cores=16, state=WorkerState.READY, incarnation=1
+        self,
+        number,
+        *,
+        cores=16,
+        state=WorkerState.READY,
+        incarnation=1,
+        instance=None,
     ):
         """Add a worker, or replace the entry of an existing one."""
         entry = WorkerEntry(
@@ -112,6 +119,7 @@
             labels=('a', f'r{number // 3}'),
             state=state,
             incarnation=incarnation,
+            instance=InstanceId(f'm{number}' if instance is None else instance),
         )
         if entry.id in self.workers.workers:
             self.workers.workers[entry.id].entry = entry
--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -70,6 +70,28 @@
     Then the job is shown as "completed" by every node
     And the workers' record is clean
 
+  Scenario: The tasks of a crashed worker start again once its instance has restarted
+    When a job of the steps "6" of 2 seconds is submitted
+    And 0.5 seconds go by
+    And the first worker that runs a task crashes
+    And 1 second goes by
+    And its instance runs another worker
+    And 4 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: A new owner starts the tasks of a crashed worker once its instance has restarted
+    When a job of the steps "6" of 2 seconds is submitted
+    And 0.5 seconds go by
+    And the first worker that runs a task crashes
+    And its entry is removed
+    And the owner is killed
+    And 3 seconds go by
+    And its instance runs another worker
+    And 4 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
   Scenario: Tasks of an unreachable worker wait until its lease ends
     When a job of the steps "4" of 5 seconds is submitted
     And 1 second goes by
--- a/features/steps/job_steps.py
+++ b/features/steps/job_steps.py
@@ -84,6 +84,26 @@
             return
 
 
+@when('the first worker that runs a task crashes')
+def crash_first(context):
+    workers = _world(context).workers.workers.values()
+    context.crashed = next(worker for worker in workers if worker.runs)
+    context.crashed.vanish()
+
+
+@when('its entry is removed')
+def remove_entry(context):
+    name = context.crashed.entry.id
+    _world(context).drop_worker_entry(int(name.removeprefix('w')))
+
+
+@when('its instance runs another worker')
+def replace_worker(context):
+    _world(context).add_worker(
+        90, incarnation=2, instance=context.crashed.entry.instance
+    )
+
+
 @when('a job whose tasks fail {times:d} times is submitted')
 def submit_failing(context, times):
     _submit(context, [make_step(2)], fails=times)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -110,6 +110,11 @@
         self.acknowledged = 0
         self._last_end_number = 0
 
+    def vanish(self) -> None:
+        """Lose all runs and refuse connections from now on."""
+        self.runs.clear()
+        self.disconnected = True
+
     def start(self, order: StartOrder) -> StartAnswer:
         """Start a run, or return why it can't start."""
         now = trio.current_time()
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -20,6 +20,10 @@
 """Fencing token of one claim of a slice; a later claim has a higher one."""
 
 
+InstanceId = NewType('InstanceId', str)
+"""Id of the machine that a worker runs on."""
+
+
 class JobState(enum.Enum):
     """State of a job as callers see it."""
 
@@ -161,7 +165,8 @@
     """One worker as the platform lists it.
 
     ``incarnation`` tells one start of the worker from another under the same
-    id.
+    id, and rises over all workers of an ``instance``. An instance runs one
+    worker at a time; it is empty if the platform doesn't name it.
     """
 
     id: WorkerId
@@ -172,6 +177,7 @@
     labels: tuple[str, ...]
     state: WorkerState
     incarnation: int
+    instance: InstanceId = InstanceId('')
 
     @property
     def rack(self) -> str:
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -478,6 +478,7 @@
             incarnation=assigned.worker.incarnation,
             phase=Phase.STARTING,
             since=trio.current_time(),
+            instance=assigned.worker.entry.instance,
             permit=assigned.permit,
             resumed=bool(task.checkpoint),
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -18,6 +18,7 @@
     compute_critical_path,
 )
 from cyclamentrack.jobs.model import (
+    InstanceId,
     Job,
     JobId,
     JobState,
@@ -40,7 +41,10 @@
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
-    """The stored state of one task; ``worker`` is empty if it isn't placed."""
+    """The stored state of one task; ``worker`` is empty if it isn't placed.
+
+    Rows of earlier versions lack the last fields.
+    """
 
     index: int
     run: int
@@ -49,6 +53,7 @@
     incarnation: int
     failures: int
     checkpoint: str
+    instance: InstanceId = InstanceId('')
 
 
 class Phase(enum.Enum):
@@ -73,6 +78,7 @@
     incarnation: int
     phase: Phase
     since: float
+    instance: InstanceId = InstanceId('')
     permit: str = ''
     lease_until_ms: int | None = None
     confirmed_at: float = 0.0
@@ -382,6 +388,7 @@
         placement.incarnation if placement else 0,
         task.failures,
         task.checkpoint,
+        placement.instance if placement else InstanceId(''),
     )
 
 
@@ -403,5 +410,6 @@
             incarnation=row.incarnation,
             phase=Phase.STARTING,
             since=now,
+            instance=row.instance,
             resumed=True,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -13,7 +13,12 @@
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
 from cyclamentrack.jobs.polling import first_poll_share, poll_wait_s
 from cyclamentrack.jobs.ports import PollOrder, PollReport, RunReport
-from cyclamentrack.jobs.registry import Phase, Placement, StepRun
+from cyclamentrack.jobs.registry import (
+    Phase,
+    Placement,
+    StepRun,
+    placements,
+)
 from cyclamentrack.jobs.worker_health import (
     SLOWDOWN_FACTOR,
     Progress,
@@ -166,6 +171,7 @@
                 newest = max(newest, end.number)
         if not worker.contacted:
             worker.contacted = True
+            self._retire_former_workers()
             self._owner.wake()
         self._pace()
         self._check_progress(now)
@@ -196,6 +202,33 @@
                 )
         worker.failures = 0
 
+    def _retire_former_workers(self) -> None:
+        """Drop the runs of workers that this one's instance ran before."""
+        worker = self._worker
+        instance = worker.entry.instance
+        if not instance:
+            return
+        for former in self._owner.fleet.workers.values():
+            if (
+                former.entry.instance == instance
+                and former.entry.incarnation < worker.incarnation
+            ):
+                _log.info(
+                    'worker replaced worker=%s instance=%s by=%s',
+                    former.entry.id,
+                    instance,
+                    worker.entry.id,
+                )
+                former.retired = True
+        for placement in list(placements(self._owner.registry)):
+            if (
+                placement.instance == instance
+                and placement.incarnation < worker.incarnation
+            ):
+                self._owner.handle_lost_run(
+                    placement, why='its instance runs another worker'
+                )
+
     def _apply_runs(self, report: PollReport, sent_at: float) -> None:
         seen: set[tuple[TaskName, int]] = set()
         self._worker.unknown_runs = 0
