Give up tasks that crash each worker that starts them

Cause: only ends 'failed' counted as attempts. A run that is lost with its worker is not an end, so nothing bounded its restarts. Class: work that takes down what runs it is retried without end, at the cost of everything beside it.

Change: crashes.py decides which runs of a crashed worker are suspected. A crash takes innocent runs with it, so a suspected task is next started alone on a worker; a crash then is put down to it. A task under which two workers crashed while it certainly ran, soon after it began, is given up with its job. Counts are part of the task's stored record, so they outlive the owner; runs without an answer to their start count less. Why it works: a crash of an isolated run leaves one suspect, so a culprit costs two workers, or three when an owner is lost in between, and the rule allows five.

Ruled out: counting every crash against all runs beside it.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -128,6 +128,19 @@
         self.loop.run(self._put_worker, entry)
         return self.workers.workers[entry.id]
 
+    def put_replacement(self, number, former):
+        """Add the worker that a crashed worker's instance runs next."""
+        entry = msgspec.structs.replace(
+            former,
+            id=WorkerId(f'w{number}'),
+            address=f'w{number}:80',
+            incarnation=former.incarnation + 1,
+        )
+        self.workers.add(entry)
+        self.rows.put(
+            RowKey('servers', '', entry.id), msgspec.json.encode(entry)
+        )
+
     def drop_worker_entry(self, number):
         async def drop():
             self.rows.remove(RowKey('servers', '', f'w{number}'))
@@ -158,13 +171,16 @@
         """Id of the next job to be submitted."""
         return JobId(f'{self._jobs + 1:016x}')
 
-    def submit(self, *steps, queue='lookups', work_s=1.0, fails=0, node=None):
-        """Submit a job; return its id and the node's answer."""
+    def submit(self, *steps, queue='lookups', node=None, **behaviour):
+        """Submit a job; return its id and the node's answer.
+
+        ``behaviour`` sets fields of the ``Behaviour`` of its tasks.
+        """
         job = self.next_job
         self._jobs += 1
         for number, step in enumerate(steps):
             self.workers.behaviours[job, number] = Behaviour(
-                step=step, work_s=work_s, fails=fails
+                step=step, **behaviour
             )
         entry = Job(
             id=job,
--- /dev/null
+++ b/features/steps/blame_steps.py
@@ -0,0 +1,89 @@
+"""Steps about the decision which runs may have crashed a worker."""
+
+from behave import given, then, when
+
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.crashes import (
+    CrashedRun,
+    is_hopeless,
+    is_suspected,
+    suspect,
+)
+from cyclamentrack.jobs.model import JobId, TaskName
+from cyclamentrack.jobs.registry import Phase, Placement, TaskRun
+
+
+@given('a crashed worker that last answered at {seconds:g} seconds')
+def begin_crash(context, seconds):
+    context.heard_at = seconds
+    context.runs = []
+
+
+def _add_run(context, confirmed, *, isolated=False, suspicion=0):
+    name = TaskName(JobId('00000000000000aa'), 0, 0, len(context.runs))
+    run = CrashedRun(
+        task=TaskRun(name=name, suspicion=suspicion),
+        placement=Placement(
+            task=name,
+            run=1,
+            worker=WorkerId('w'),
+            incarnation=1,
+            phase=Phase.RUNNING if confirmed else Phase.STARTING,
+            since=99.0,
+            confirmed_at=confirmed,
+        ),
+        isolated=isolated,
+    )
+    context.runs.append(run)
+
+
+@given('a run on it that was confirmed at {confirmed:g} seconds')
+def add_run(context, confirmed):
+    _add_run(context, confirmed)
+
+
+@given('an isolated run on it that was confirmed at {confirmed:g} seconds')
+def add_isolated_run(context, confirmed):
+    _add_run(context, confirmed, isolated=True)
+
+
+@given(
+    'a run on it that was confirmed at {confirmed:g} seconds '
+    'of a task with suspicion {suspicion:d}'
+)
+def add_suspected_run(context, confirmed, suspicion):
+    _add_run(context, confirmed, suspicion=suspicion)
+
+
+@when('the crash is put down to its runs')
+def put_down(context):
+    suspect(context.runs, heard_at=context.heard_at)
+
+
+@then('its task has suspicion {suspicion:d} and {crashes:d} crashes')
+def check_task(context, suspicion, crashes):
+    task = context.runs[0].task
+    assert (task.suspicion, task.crashes) == (suspicion, crashes), task
+
+
+@then('these are the suspicions: "{text}"')
+def check_suspicions(context, text):
+    found = [run.task.suspicion for run in context.runs]
+    assert found == [int(one) for one in text.split(', ')], found
+
+
+@given('a task with suspicion {suspicion:d} after {crashes:d} crashes')
+def make_task(context, suspicion, crashes):
+    name = TaskName(JobId('00000000000000aa'), 0, 0, 0)
+    context.task = TaskRun(name=name, suspicion=suspicion, crashes=crashes)
+
+
+@then('it is {verdict}')
+def check_verdict(context, verdict):
+    expected = {
+        'trusted': (False, False),
+        'isolated': (True, False),
+        'given up': (True, True),
+    }[verdict]
+    found = (is_suspected(context.task), is_hopeless(context.task))
+    assert found == expected, found
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -43,11 +43,17 @@
 
 
 class Behaviour(msgspec.Struct, kw_only=True):
-    """How the tasks of a step behave: work time and number of failures."""
+    """How the tasks of a step behave: work time and number of failures.
+
+    The task with index ``crasher`` crashes each worker soon after its start,
+    whose answer may be lost.
+    """
 
     step: Step
     work_s: float = 1.0
     fails: int = 0
+    crasher: int | None = None
+    crasher_answered: bool = True
 
 
 _DEFAULT_BEHAVIOUR = Behaviour(
@@ -158,11 +164,19 @@
     def tick(self) -> None:
         """End runs that completed, failed, were stopped or lost the lease."""
         now = trio.current_time()
+        if any(self._is_crasher(task) for task, _ in self.runs):
+            self.vanish()
         for key, run in list(self.runs.items()):
             end = self._end_of(key, run, now)
             if end is not None:
                 self._record_run_end(key, end)
 
+    def is_answered(self, task: TaskName) -> bool:
+        """Return whether the answer to a task's start arrives."""
+        if not self._is_crasher(task):
+            return True
+        return self._workers.behaviour(task).crasher_answered
+
     def report(self) -> PollReport:
         """Return the lists of current runs and of unacknowledged ends."""
         now = trio.current_time()
@@ -182,6 +196,9 @@
             ended=tuple(self.ends),
         )
 
+    def _is_crasher(self, task: TaskName) -> bool:
+        return self._workers.behaviour(task).crasher == task.index
+
     def _checkpoint(self, task: TaskName, run: MemoryRun, now: float) -> str:
         """Return the run's latest checkpoint.
 
@@ -354,7 +371,10 @@
             trio.lowlevel.spawn_system_task(_start_late, target, order)
             await trio.sleep(order.answer_s)
             return StartAnswer.NO_ANSWER
-        return target.start(order)
+        answer = target.start(order)
+        if not target.is_answered(order.task):
+            return StartAnswer.NO_ANSWER
+        return answer
 
     async def stop(
         self, *, worker: WorkerEntry, task: TaskName, run: int, token: Token
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -7,13 +7,18 @@
 from collections.abc import Callable, Iterator
 
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.crashes import has_worked
 from cyclamentrack.jobs.fleet import Fleet, Worker
-from cyclamentrack.jobs.layout import place_each, place_gang
+from cyclamentrack.jobs.layout import (
+    place_each,
+    place_gang,
+    place_isolated,
+)
 from cyclamentrack.jobs.model import StepName
 from cyclamentrack.jobs.order import ReadyStep, SchedulingKey, ready_step
 from cyclamentrack.jobs.permit_requests import PermitPlanner
 from cyclamentrack.jobs.permits import PermitCache
-from cyclamentrack.jobs.registry import JobRegistry
+from cyclamentrack.jobs.registry import JobRegistry, StepRun, TaskRun
 from cyclamentrack.jobs.rounds import Round, RoundState
 
 # A worker that hasn't answered for this long gets no new tasks.
@@ -49,6 +54,8 @@
             for worker in self._fleet.workers.values()
             if worker.present(now=now, unreachable_after_s=_UNREACHABLE_AFTER_S)
         ]
+        for worker in present:
+            self._end_isolation(worker, now)
         usable = [
             worker for worker in present if now >= worker.quarantined_until
         ]
@@ -123,15 +130,43 @@
             return
         if step.step.gang:
             chosen = place_gang(step, allowed, state.contention)
-        else:
-            tasks = tasks[: state.starts_left]
-            chosen = place_each(step, tasks, allowed, state.contention)
+            self._assign(step, chosen, state)
+            return
+        tasks = tasks[: state.starts_left]
+        suspected = [task for task in tasks if state.must_isolate(step, task)]
+        if suspected:
+            alone = suspected[: state.may_isolate]
+            chosen = place_isolated(step, alone, allowed)
+            self._assign(step, chosen, state, isolated=True)
+            tasks = [task for task in tasks if task not in suspected]
+        chosen = place_each(step, tasks, allowed, state.contention)
+        self._assign(step, chosen, state)
+
+    def _assign(
+        self,
+        step: StepRun,
+        chosen: list[tuple[TaskRun, Worker]],
+        state: RoundState,
+        *,
+        isolated: bool = False,
+    ) -> None:
         known = self._permits.of(step.name)
         for task, worker in chosen:
             permit = known.fresh_permit(
                 worker.entry.id, now=state.now, incarnation=worker.incarnation
             )
-            state.assign(step, task, worker, permit)
+            state.assign(step, task, worker, permit, isolated=isolated)
+
+    def _end_isolation(self, worker: Worker, now: float) -> None:
+        """Open a worker to other runs once its isolated run has worked."""
+        if worker.isolated_run is None:
+            return
+        if worker.isolated_run in worker.charges:
+            task = self._registry.task(worker.isolated_run[0])
+            placement = task.placement if task else None
+            if placement is not None and not has_worked(placement, now):
+                return
+        worker.isolated_run = None
 
     def _allowed(self, ready: ReadyStep, state: RoundState) -> list[Worker]:
         """Return the workers with free capacity and a permit for a step."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -14,6 +14,7 @@
     WorkerEntry,
     WorkerState,
 )
+from cyclamentrack.jobs.registry import Placement
 from cyclamentrack.resources import NO_RESOURCES, Resources
 
 _MS_PER_S = 1000
@@ -44,7 +45,8 @@
     Times are steady seconds except ``clock_ms``, which is on the worker's
     clock. ``slowness`` is the ratio of the time that runs take on this worker
     to their typical time. A refused or closed connection makes the worker
-    ``disconnected`` until its next answer.
+    ``disconnected`` until its next answer. ``lost_runs`` are those that were
+    given up when its lease had ended without an answer.
     """
 
     entry: WorkerEntry
@@ -69,12 +71,16 @@
     quarantine_s: float = 0.0
     probing: bool = False
     probe_run: tuple[TaskName, int] | None = None
+    isolated_run: tuple[TaskName, int] | None = None
+    lost_runs: list[Placement] = msgspec.field(default_factory=list)
 
     @property
     def free(self) -> Resources:
-        """Capacity that no run uses; none while a probe run is active."""
+        """Capacity that no run uses; none beside a probe or an isolated run."""
         if self.probing and self.probe_run in self.charges:
             return NO_RESOURCES
+        if self.isolated_run in self.charges:
+            return NO_RESOURCES
         return self.entry.capacity.minus(self.used)
 
     def usable(self, *, now: float, unreachable_after_s: float) -> bool:
@@ -94,8 +100,10 @@
         ready = self.entry.state is WorkerState.READY
         return all((known, connected, current, heard, ready))
 
-    def charge_run(self, *, task: TaskName, run: int, step: Step) -> None:
-        """Charge the worker for a run."""
+    def charge_run(
+        self, *, task: TaskName, run: int, step: Step, isolated: bool = False
+    ) -> None:
+        """Charge the worker for a run; an isolated one keeps others away."""
         need = charge(step)
         self.charges[task, run] = RunCharge(
             need=need,
@@ -106,6 +114,8 @@
         self.used = self.used.plus(need)
         if self.probing:
             self.probe_run = (task, run)
+        if isolated:
+            self.isolated_run = (task, run)
 
     def release(self, *, task: TaskName, run: int) -> None:
         """Remove the charge of a run."""
@@ -121,6 +131,12 @@
         self.charges.clear()
         self.used = NO_RESOURCES
 
+    def take_lost_runs(self) -> list[Placement]:
+        """Return the lost runs and forget them."""
+        lost = self.lost_runs
+        self.lost_runs = []
+        return lost
+
     def record_clock(self, *, clock_ms: int, now: float) -> None:
         """Record the worker's clock from an answer received at ``now``."""
         self.clock_ms = clock_ms
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -68,7 +68,7 @@
     free = _FreeCapacity(step=step, workers=allowed, contention=contention)
     chosen: list[tuple[TaskRun, Worker]] = []
     for task in tasks:
-        worker = free.best(allowed, avoid=task.failed_on)
+        worker = free.best(allowed, task)
         if worker is None:
             break
         free.subtract_task(worker)
@@ -76,6 +76,18 @@
     return chosen
 
 
+def place_isolated(
+    step: StepRun,
+    tasks: list[TaskRun],
+    allowed: list[Worker],
+) -> list[tuple[TaskRun, Worker]]:
+    """Choose a worker of its own for each task, with few runs if possible."""
+    workers = sorted(allowed, key=lambda worker: len(worker.charges))
+    need = charge(step.step)
+    fitting = [worker for worker in workers if need.fits(worker.free)]
+    return list(zip(tasks, fitting, strict=False))
+
+
 def place_gang(
     step: StepRun,
     allowed: list[Worker],
@@ -92,7 +104,7 @@
         free = _FreeCapacity(step=step, workers=group, contention=contention)
         chosen: list[tuple[TaskRun, Worker]] = []
         for task in step.tasks:
-            worker = free.best(group, avoid=task.failed_on)
+            worker = free.best(group, task)
             if worker is None:
                 break
             free.subtract_task(worker)
@@ -138,16 +150,17 @@
         for placement in step.placed:
             self._add(placement.worker)
 
-    def best(
-        self, workers: list[Worker], *, avoid: set[WorkerId]
-    ) -> Worker | None:
-        """Return the best worker for the next task, if it fits anywhere."""
+    def best(self, workers: list[Worker], task: TaskRun) -> Worker | None:
+        """Return the best worker for a task, if it fits anywhere."""
         fitting = [worker for worker in workers if self._fits(worker)]
         if not fitting:
             return None
         return min(
             fitting,
-            key=lambda worker: (worker.entry.id in avoid, self._cost(worker)),
+            key=lambda worker: (
+                worker.entry.id in task.failed_on,
+                self._cost(worker),
+            ),
         )
 
     def subtract_task(self, worker: Worker) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -54,6 +54,8 @@
     failures: int
     checkpoint: str
     instance: InstanceId = InstanceId('')
+    suspicion: int = 0
+    crashes: int = 0
 
 
 class Phase(enum.Enum):
@@ -92,12 +94,18 @@
 
 
 class TaskRun(msgspec.Struct, kw_only=True, eq=False):
-    """One task: the number of its runs so far and its current placement."""
+    """One task: the number of its runs so far and its current placement.
+
+    ``crashes`` counts the workers that crashed while it certainly ran there,
+    and ``suspicion`` rises with each crash that it may have caused.
+    """
 
     name: TaskName
     run: int = 0
     done: bool = False
     failures: int = 0
+    suspicion: int = 0
+    crashes: int = 0
     checkpoint: str = ''
     placement: Placement | None = None
     idle_since: float = 0.0
@@ -389,6 +397,8 @@
         task.failures,
         task.checkpoint,
         placement.instance if placement else InstanceId(''),
+        task.suspicion,
+        task.crashes,
     )
 
 
@@ -401,6 +411,8 @@
     task.run = row.run
     task.done = row.done
     task.failures = row.failures
+    task.suspicion = row.suspicion
+    task.crashes = row.crashes
     task.checkpoint = row.checkpoint
     if row.worker:
         task.placement = Placement(
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -6,6 +6,7 @@
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.capacity_index import CapacityIndex, total
+from cyclamentrack.jobs.crashes import is_suspected
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import Forecast, StartPlan, needs_plan
 from cyclamentrack.jobs.headroom import Headroom
@@ -23,6 +24,8 @@
 # Capacity is kept on at most one in this many workers at a time. The first
 # plan of a round may exceed this limit.
 _WORKERS_PER_KEPT = 3
+# At most one in this many workers runs an isolated task at a time.
+_WORKERS_PER_ISOLATED = 3
 # Steps per round for which plans consider the expected ends on all workers.
 _MAX_WIDE_PLANS = 16
 # Permit requests that a round makes beyond one for each free route, since
@@ -137,6 +140,8 @@
         self.contention: dict[WorkerId, float] = {}
         self.kept_until: dict[WorkerId, float] = {}
         self._max_kept_workers = max(len(usable) // _WORKERS_PER_KEPT, 1)
+        self._max_isolated = max(len(usable) // _WORKERS_PER_ISOLATED, 1)
+        self._isolated = sum(one.isolated_run is not None for one in usable)
         self._busy = _is_busy([*usable, *quarantined])
         self._capacities = {
             (one.milli_cores, one.memory_mib, one.accelerators): one
@@ -202,18 +207,41 @@
         return needs_plan(step, self._capacities.values())
 
     def assign(
-        self, step: StepRun, task: TaskRun, worker: Worker, permit: str
+        self,
+        step: StepRun,
+        task: TaskRun,
+        worker: Worker,
+        permit: str,
+        *,
+        isolated: bool = False,
     ) -> None:
         """Assign a task to a worker and charge the worker for it."""
         self.starts_left -= 1
         self.headroom.subtract(charge(step.step).milli_cores)
-        worker.charge_run(task=task.name, run=task.run + 1, step=step.step)
+        worker.charge_run(
+            task=task.name, run=task.run + 1, step=step.step, isolated=isolated
+        )
+        self._isolated += isolated
         self.capacity_index.update(worker)
         self.assigned.add(task.name)
         self.outcome.assignments.append(
             Assignment(step=step, task=task, worker=worker, permit=permit),
         )
 
+    def must_isolate(self, step: StepRun, task: TaskRun) -> bool:
+        """Return whether a task must have a worker of its own at its start.
+
+        A gang's members start together, and a neglected job must start.
+        """
+        if step.step.gang or self.neglected(step):
+            return False
+        return is_suspected(task)
+
+    @property
+    def may_isolate(self) -> int:
+        """How many more workers may get an isolated run now."""
+        return max(self._max_isolated - self._isolated, 0)
+
     def placeable_tasks(self, ready: ReadyStep) -> list[TaskRun]:
         """Return the waiting tasks that may be placed in this round.
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -8,6 +8,8 @@
 import trio
 
 from cyclamentrack.errors import WorkerUnreachableError
+from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.crashes import CrashedRun
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.model import TaskName, WorkerState
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
@@ -161,6 +163,7 @@
         now = trio.current_time()
         if report.incarnation != worker.incarnation:
             self._apply_restart(report)
+        worker.take_lost_runs()
         worker.record_clock(clock_ms=report.clock_ms, now=now)
         self._unanswered = 0
         self._apply_runs(report, sent_at)
@@ -195,39 +198,65 @@
         worker = self._worker
         worker.incarnation = report.incarnation
         worker.acknowledged = 0
-        for placement in self._placements():
-            if placement.incarnation != report.incarnation:
-                self._owner.handle_lost_run(
-                    placement, why='its worker restarted'
-                )
+        lost = [
+            placement
+            for placement in self._placements()
+            if placement.incarnation != report.incarnation
+        ]
+        self._handle_crash(
+            worker, [*worker.take_lost_runs(), *lost], 'its worker restarted'
+        )
         worker.failures = 0
 
     def _retire_former_workers(self) -> None:
         """Drop the runs of workers that this one's instance ran before."""
-        worker = self._worker
-        instance = worker.entry.instance
+        instance = self._worker.entry.instance
         if not instance:
             return
+        since = self._worker.incarnation
+        lost: dict[WorkerId, list[Placement]] = {}
         for former in self._owner.fleet.workers.values():
-            if (
-                former.entry.instance == instance
-                and former.entry.incarnation < worker.incarnation
-            ):
+            entry = former.entry
+            if entry.instance == instance and entry.incarnation < since:
                 _log.info(
                     'worker replaced worker=%s instance=%s by=%s',
-                    former.entry.id,
+                    entry.id,
                     instance,
-                    worker.entry.id,
+                    self._worker.entry.id,
                 )
                 former.retired = True
-        for placement in list(placements(self._owner.registry)):
-            if (
-                placement.instance == instance
-                and placement.incarnation < worker.incarnation
-            ):
-                self._owner.handle_lost_run(
-                    placement, why='its instance runs another worker'
-                )
+                lost[entry.id] = former.take_lost_runs()
+        for placement in placements(self._owner.registry):
+            if placement.instance == instance and placement.incarnation < since:
+                lost.setdefault(placement.worker, []).append(placement)
+        for name, runs in lost.items():
+            former = self._owner.fleet.workers.get(name)
+            self._handle_crash(former, runs, 'its instance runs another worker')
+
+    def _handle_crash(
+        self, worker: Worker | None, runs: list[Placement], why: str
+    ) -> None:
+        """Drop the runs of a worker that is certain to have ended.
+
+        A worker that was leaving has not crashed, and ``None`` stands for one
+        that this owner has not known.
+        """
+        crashed = [
+            CrashedRun(
+                task=task,
+                placement=run,
+                isolated=worker is not None
+                and worker.isolated_run == (run.task, run.run),
+            )
+            for run in runs
+            if (task := self._owner.registry.task(run.task)) and not task.done
+        ]
+        for run in runs:
+            self._owner.handle_lost_run(run, why=why)
+        if worker is None or not worker.contacted:
+            self._owner.handle_crash(crashed, heard_at=None)
+        elif worker.entry.state is WorkerState.READY:
+            self._owner.handle_crash(crashed, heard_at=worker.heard_at)
 
     def _apply_runs(self, report: PollReport, sent_at: float) -> None:
         seen: set[tuple[TaskName, int]] = set()
@@ -312,6 +341,7 @@
 
     def _drop_all_runs(self, why: str) -> None:
         for placement in self._placements():
+            self._worker.lost_runs.append(placement)
             self._owner.handle_lost_run(placement, why=why)
         self._worker.release_all()
 
