Skip odd entries of other writers instead of ending the process

What operators of similar systems saw, and what can happen here: one entry among those of the workers that is nested very deeply, holds a number that is too large or names a port out of range ends the node that reads the list, again and again.

Cause: a body nested 200,000 deep raises RecursionError, which the decoders of entries, replies and callers' jobs did not catch; an address that can't be connected to raises ValueError or TypeError in the HTTP client or the peer connection; capacities and start times were taken as they stood. Class: input of another writer is trusted beyond its JSON types.

A job nested too deeply gets 400. A peer at an address that can't be connected to is unreachable.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -79,6 +79,25 @@
       | {"Service":"s","Address":1,"State":"ready","Capacity":{"Cpu":1,"MemMb":1}}  |
     And a configuration of "[]" is skipped
 
+  Scenario Outline: A worker entry with <fault> is skipped
+    Then a worker entry with <fault> is skipped
+
+    Examples:
+      | fault                     |
+      | very deep nesting         |
+      | a number too large        |
+      | a negative capacity       |
+      | an excessive capacity     |
+      | a port out of range       |
+      | a negative port           |
+      | a port that is no number  |
+      | a host name               |
+      | an unclosed bracket       |
+      | a zero byte in its address |
+
+  Scenario: A deeply nested configuration is skipped
+    Then a configuration with very deep nesting is skipped
+
   Scenario: Settings give the resources of the machine
     When settings with limits are read
     Then they give 1.5 cores and a link of 200 Mbit/s
--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -13,6 +13,7 @@
       | what                    | method | target                    | body                                            | status |
       | not JSON                | POST   | /lookups/00000000000000aa | x{                                              | 400    |
       | a list                  | POST   | /lookups/00000000000000aa | []                                              | 400    |
+      | very deep nesting       | POST   | /lookups/00000000000000aa | deep                                            | 400    |
       | no steps                | POST   | /lookups/00000000000000aa | {"Steps":[]}                                    | 400    |
       | negative processors     | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"Cpu":-5}]}                | 400    |
       | excessive count         | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":99999999}]}                  | 400    |
--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -19,6 +19,7 @@
     Examples:
       | body        |
       | {"ClockMs"  |
+      | deep        |
       | []          |
       | \xff        |
 
@@ -46,6 +47,16 @@
       | feed  | /-/rows-feed    | {"rows":[{"Ver":1}]}     |
       | parts | /-/rows-parts   | {"parts":[1]}            |
 
+  Scenario Outline: A peer at the address "<address>" is unreachable
+    Given a peer at the address "<address>"
+    Then a call to it fails as unreachable
+
+    Examples:
+      | address       |
+      | 1.2.3.4:99999 |
+      | 1.2.3.4:-1    |
+      | [::           |
+
   Scenario: A peer's malformed reply and its second reply end no process
     Given a peer that replies with other bytes, then twice to each request
     Then a call to it fails as unreachable
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -6,6 +6,8 @@
 from cyclamentrack_platform.front import HttpFrontend
 from features.harness.asgi import call_app
 
+_DEPTH = 20_000
+
 
 @given('an HTTP frontend on its first node')
 def start_frontend(context):
@@ -32,6 +34,8 @@
 @step('a caller sends {method} "{target}" with body {body}')
 def send(context, method, target, body):
     payload = b'' if body == '-' else body.encode()
+    if body == 'deep':
+        payload = b'{"Steps":' + b'[' * _DEPTH
     _send(context, method, target, payload)
 
 
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -50,6 +50,17 @@
     trio.run(call_twice)
 
 
+@given('a peer at the address "{address}"')
+def set_peer_address(context, address):
+    async def call():
+        async with trio.open_nursery() as nursery:
+            peers = PeerConnections(nursery=nursery)
+            context.answers = [await _call(peers, address)]
+            nursery.cancel_scope.cancel()
+
+    trio.run(call)
+
+
 async def _serve(handler, *, task_status):
     await serve(
         handler,
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
@@ -28,6 +28,10 @@
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 
+# A ValueError means that the peer's address can't be connected to.
+_CONNECT_ERRORS = (OSError, WebSocketException, TimeoutError, ValueError)
+
+
 class Frame(msgspec.Struct, frozen=True, array_like=True):
     """One message on a connection; a reply has its request's number."""
 
@@ -90,7 +94,7 @@
                 self._connection = connection
                 self._connect_finished.set()
                 await self._receive(connection)
-        except (OSError, WebSocketException, TimeoutError) as error:
+        except _CONNECT_ERRORS as error:
             _log.debug('connection to %s ended: %r', self._address, error)
         finally:
             self._close()
