--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -98,6 +98,9 @@
   Scenario: A deeply nested configuration is skipped
     Then a configuration with very deep nesting is skipped
 
+  Scenario: An invalid route is left out, and the others of its version are in force
+    Then a configuration with an invalid route has all other routes and its version
+
   Scenario: Settings give the resources of the machine
     When settings with limits are read
     Then they give 1.5 cores and a link of 200 Mbit/s
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -54,6 +54,7 @@
     'an unclosed bracket': {'Address': '[::'},
     'a zero byte in its address': {'Address': '10.0.0.3\0:80'},
 }
+_VALID_ROUTE = {'Name': 'a', 'PathPrefix': '/a/', 'Service': 's'}
 _KEY = RowKey('t', 'p', 'k')
 
 
@@ -291,6 +292,19 @@
     assert PlatformEntries().configuration(body) is None
 
 
+@then(
+    'a configuration with an invalid route has all other routes and its version'
+)
+def check_partial_configuration(context):
+    del context
+    routes = [_VALID_ROUTE, {**_VALID_ROUTE, 'Name': 'b', 'Priority': 1.5}]
+    body = {'Version': 7, 'Routes': routes, 'Services': [{'Name': 's'}]}
+    found = PlatformEntries().configuration(json.dumps(body).encode())
+    assert found.version == 7
+    assert [queue.name for queue in found.queues] == ['a']
+    assert found.pools == ('s',)
+
+
 @then('a configuration of "[]" is skipped')
 def check_configuration(context):
     del context
