--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -120,7 +120,7 @@
 def set_bytes(context, path, text):
     body = text.encode().replace(rb'\xff', b'\xff')
     if text == 'deep':
-        body = b'{"ClockMs":5,"X":' + _DEEP + b'}'
+        body = b'{"ClockMs":5,"X":%s}' % _DEEP
     _server(context).answers[path] = (200, body)
 
 
@@ -281,14 +281,14 @@
     assert PlatformEntries().worker('i-1', valid) is not None
     odd = json.dumps({**_VALID_WORKER, **_ODD_FIELDS.get(fault, {})}).encode()
     if fault not in _ODD_FIELDS:
-        odd = valid[:-1] + b',"X":' + _DEEP + b'}'
+        odd = valid.replace(b'{', b'{"X":%s,' % _DEEP, 1)
     assert PlatformEntries().worker('i-1', odd) is None, odd[:200]
 
 
 @then('a configuration with very deep nesting is skipped')
 def check_deep_configuration(context):
     del context
-    body = b'{"Version":1,"Routes":[],"X":' + _DEEP + b'}'
+    body = b'{"Version":1,"Routes":[],"X":%s}' % _DEEP
     assert PlatformEntries().configuration(body) is None
 
 
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -35,7 +35,7 @@
 def send(context, method, target, body):
     payload = b'' if body == '-' else body.encode()
     if body == 'deep':
-        payload = b'{"Steps":' + b'[' * _DEPTH
+        payload = b'{"Steps":%s' % (b'[' * _DEPTH)
     _send(context, method, target, payload)
 
 
