Show that no start exceeds a capacity that has shrunk

The landed code holds the rule: entries are followed and free capacity is computed from the newest one.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -122,7 +122,7 @@
             instance=InstanceId(f'm{number}' if instance is None else instance),
         )
         if entry.id in self.workers.workers:
-            self.workers.workers[entry.id].entry = entry
+            self.loop.run(self._resize, entry)
         else:
             self.workers.add(entry)
         self.loop.run(self._put_worker, entry)
@@ -230,6 +230,9 @@
     async def _put(self, key, body):
         self.rows.put(key, body)
 
+    async def _resize(self, entry):
+        self.workers.workers[entry.id].resize(entry)
+
     async def _put_worker(self, entry):
         self.rows.put(
             RowKey('servers', '', entry.id), msgspec.json.encode(entry)
--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -92,6 +92,18 @@
     Then the job is shown as "completed" by every node
     And the workers' record is clean
 
+  Scenario: No start exceeds a worker's capacity after it has shrunk
+    When 30 jobs of 8 tasks are queued
+    And 1 second goes by
+    And every worker shrinks to 3 cores
+    And 12 seconds go by
+    Then the workers' record is clean
+    And at most 3 tasks run on each worker
+    When every worker grows to 16 cores
+    And 12 seconds go by
+    Then all queued jobs are shown as "completed"
+    And the workers' record is clean
+
   Scenario: Tasks of an unreachable worker wait until its lease ends
     When a job of the steps "4" of 5 seconds is submitted
     And 1 second goes by
