Log a replaced worker once, and look for suspects before neglect

Cause: each new worker of an instance logged all former ones again, and each task of a waiting step computed whether its job is neglected although few tasks are suspected. Found on reading the change.

--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -233,9 +233,9 @@
 
         A gang's members start together, and a neglected job must start.
         """
-        if step.step.gang or self.neglected(step):
+        if step.step.gang or not is_suspected(task):
             return False
-        return is_suspected(task)
+        return not self.neglected(step)
 
     @property
     def may_isolate(self) -> int:
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -217,15 +217,17 @@
         lost: dict[WorkerId, list[Placement]] = {}
         for former in self._owner.fleet.workers.values():
             entry = former.entry
-            if entry.instance == instance and entry.incarnation < since:
+            if entry.instance != instance or entry.incarnation >= since:
+                continue
+            if not former.retired:
                 _log.info(
                     'worker replaced worker=%s instance=%s by=%s',
                     entry.id,
                     instance,
                     self._worker.entry.id,
                 )
-                former.retired = True
-                lost[entry.id] = former.take_lost_runs()
+            former.retired = True
+            lost[entry.id] = former.take_lost_runs()
         for placement in placements(self._owner.registry):
             if placement.instance == instance and placement.incarnation < since:
                 lost.setdefault(placement.worker, []).append(placement)
