Replace a connection to a peer that has gone silent

Cause: a silent connection between two nodes was closed by a ping after 5 s, and then waited 10 s more for the closing handshake, while calls on it hung. Each of an owner's permit routes over peers was occupied for 13 s. On the landed code the pool moved to another node at each silence, which hid this; since connections to the store are replaced at once, the owner stays.

The new scenario in features/platform/malformed.feature failed before.

Change: a connection on which a call has waited 1 s without any message is closed and replaced; the closing handshake ends after 0.5 s.

--- a/features/platform/malformed.feature
+++ b/features/platform/malformed.feature
@@ -62,6 +62,10 @@
     Then a call to it fails as unreachable
     And a later call to it is answered
 
+  Scenario: A connection to a peer that has gone silent costs one lost call
+    Given a peer whose first connection goes silent after one reply
+    Then a call to it is answered, the next is lost, and the one after is answered
+
   Scenario Outline: A malformed row in table "<table>" is skipped
     Given a job cell of 3 nodes and 4 workers
     When other bytes are written to a row of table "<table>"
--- a/features/steps/malformed_steps.py
+++ b/features/steps/malformed_steps.py
@@ -61,6 +61,39 @@
     trio.run(call)
 
 
+@given('a peer whose first connection goes silent after one reply')
+def set_silent_peer(context):
+    connections = []
+
+    async def reply(connection):
+        connections.append(connection)
+        silent = len(connections) == 1
+        async for packet in connection:
+            frame = Frame(decode(packet, Frame).number, WaitingReply())
+            await connection.send(encode(frame))
+            if silent:
+                await trio.sleep_forever()
+
+    async def call():
+        async with trio.open_nursery() as nursery:
+            server = await nursery.start(_serve, reply)
+            port = server.listeners[0].socket.getsockname()[1]
+            peers = PeerConnections(nursery=nursery)
+            context.answers = [
+                await _call(peers, f'127.0.0.1:{port}') for _ in range(3)
+            ]
+            nursery.cancel_scope.cancel()
+
+    trio.run(call)
+
+
+@then(
+    'a call to it is answered, the next is lost, and the one after is answered'
+)
+def check_one_lost(context):
+    assert context.answers == [WaitingReply(), None, WaitingReply()]
+
+
 async def _serve(handler, *, task_status):
     await serve(
         handler,
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/peering.py
@@ -26,6 +26,11 @@
 
 _PROTOCOL = f'cyclamentrack.v{PROTOCOL_VERSION}'
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+# A connection on which a call has waited this long without any message since is
+# replaced; a busy peer answers other calls meanwhile.
+_SILENT_S = 1.0
+# A silent peer never completes the closing handshake.
+_CLOSE_TIMEOUT_S = 0.5
 
 
 # A ValueError means that the peer's address can't be connected to.
@@ -54,8 +59,11 @@
 
         Raises ``PeerUnreachableError`` after ``timeout_s`` without a reply.
         """
+        link = self._link(address)
         with trio.move_on_after(timeout_s):
-            return await self._link(address).call(message)
+            return await link.call(message)
+        if link.silent:
+            link.abandon()
         raise PeerUnreachableError(peer=address)
 
     def _link(self, address: str) -> '_Link':
@@ -76,28 +84,27 @@
         self._reply_channels: dict[int, trio.MemorySendChannel] = {}
         self._connect_finished = trio.Event()
         self._connection: Connection | None = None
+        self._scope = trio.CancelScope()
+        self._unanswered_since: float | None = None
         self.closed = False
 
+    @property
+    def silent(self) -> bool:
+        """Whether nothing has arrived for long although a call waits."""
+        if self._unanswered_since is None:
+            return False
+        return trio.current_time() - self._unanswered_since >= _SILENT_S
+
     async def run(self) -> None:
         """Connect, then pass replies to their callers until closed."""
-        try:
-            async with connect(
-                f'ws://{self._address}',
-                subprotocols=[_PROTOCOL],
-                compression=None,
-                proxy=None,
-                open_timeout=defaults.PEER_TIMEOUT_S,
-                ping_interval=defaults.PEER_HEARTBEAT_S,
-                ping_timeout=defaults.PEER_TIMEOUT_S,
-                max_size=_MAX_MESSAGE_BYTES,
-            ) as connection:
-                self._connection = connection
-                self._connect_finished.set()
-                await self._receive(connection)
-        except _CONNECT_ERRORS as error:
-            _log.debug('connection to %s ended: %r', self._address, error)
-        finally:
-            self._close()
+        with self._scope:
+            await self._run()
+
+    def abandon(self) -> None:
+        """Fail all pending calls and close without waiting for the peer."""
+        _log.info('connection to %s has gone silent, closing', self._address)
+        self._close()
+        self._scope.cancel()
 
     async def call(self, message: PeerMessage) -> PeerMessage:
         """Send a request and wait for its reply."""
@@ -110,7 +117,7 @@
             await self._connect_finished.wait()
             if self._connection is None or self.closed:
                 raise PeerUnreachableError(peer=self._address)
-            await self._connection.send(packet)
+            await self._send(self._connection, packet)
             return await receive.receive()
         except (
             WebSocketException,
@@ -121,8 +128,35 @@
         finally:
             self._reply_channels.pop(number, None)
 
+    async def _run(self) -> None:
+        try:
+            async with connect(
+                f'ws://{self._address}',
+                subprotocols=[_PROTOCOL],
+                compression=None,
+                proxy=None,
+                open_timeout=defaults.PEER_TIMEOUT_S,
+                ping_interval=defaults.PEER_HEARTBEAT_S,
+                ping_timeout=defaults.PEER_TIMEOUT_S,
+                close_timeout=_CLOSE_TIMEOUT_S,
+                max_size=_MAX_MESSAGE_BYTES,
+            ) as connection:
+                self._connection = connection
+                self._connect_finished.set()
+                await self._receive(connection)
+        except _CONNECT_ERRORS as error:
+            _log.debug('connection to %s ended: %r', self._address, error)
+        finally:
+            self._close()
+
+    async def _send(self, connection: Connection, packet: bytes) -> None:
+        if self._unanswered_since is None:
+            self._unanswered_since = trio.current_time()
+        await connection.send(packet)
+
     async def _receive(self, connection: Connection) -> None:
         async for packet in connection:
+            self._unanswered_since = None
             traffic.count_message(received=len(packet))
             frame = _decode_frame(packet, self._address)
             if frame is None:
@@ -178,6 +212,7 @@
         compression=None,
         ping_interval=defaults.PEER_HEARTBEAT_S,
         ping_timeout=defaults.PEER_TIMEOUT_S,
+        close_timeout=_CLOSE_TIMEOUT_S,
         max_size=_MAX_MESSAGE_BYTES,
         task_status=task_status,
     )
