Skip a worker entry whose port has thousands of digits

Cause: a text of more than 4300 digits can't be converted to a number, so that such a port of another writer's entry raised ValueError in the check that was to skip it, and ended the node.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -89,6 +89,7 @@
       | a negative capacity       |
       | an excessive capacity     |
       | a port out of range       |
+      | a port of 5000 digits     |
       | a negative port           |
       | a port that is no number  |
       | a host name               |
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -19,6 +19,7 @@
     'a negative capacity': {'Capacity': {'Cpu': -1, 'MemMb': 1}},
     'an excessive capacity': {'Capacity': {'Cpu': 10**18, 'MemMb': 1}},
     'a port out of range': {'Address': '10.0.0.3:99999'},
+    'a port of 5000 digits': {'Address': f'10.0.0.3:{"9" * 5000}'},
     'a negative port': {'Address': '10.0.0.3:-1'},
     'a port that is no number': {'Address': '10.0.0.3:x'},
     'a host name': {'Address': 'host:80'},
