Run no task twice when a worker begins again under its id

Cause: in the time in which the owner didn't know of the restart, it sent starts to the new incarnation and polled it with the cursor of the former one. Numbers of ends start anew, so the cursor acknowledged ends that no answer had listed. When the new incarnation was recognised, all runs of the former one were dropped, those that the new one had started included.

Change: ends are acknowledged only over a connection that has carried an answer of the incarnation that listed them. Nothing in a request can name the incarnation, but a connection ends with its process. At a restart, runs that the new incarnation lists are kept, and starts in doubt are barred by a stop. Ruled out: orders of before that arrive late; they can't cross to another process.

Related paths: stops answered by the former incarnation are sent again; a new owner's first poll keeps listed runs of another incarnation.

--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -16,7 +16,8 @@
     ``None``, the server closes the connection without a reply; if it is
     ``'silent'``, it never replies. Paths without an answer get status 404. A
     server that ``closes_after_reply`` doesn't keep a connection for more calls.
-    The first ``silent_connections`` get no further replies and stay open.
+    The first ``silent_connections`` get no further replies and stay open, and
+    the calls whose numbers are in ``unanswered_calls`` get none either.
     """
 
     def __init__(self):
@@ -24,6 +25,7 @@
         self.calls = []
         self.connections = 0
         self.silent_connections = 0
+        self.unanswered_calls = set()
         self.closes_after_reply = False
         self.closed = 0
         self.address = ''
@@ -68,7 +70,9 @@
             path = target.partition('?')[0]
             self.calls.append((target, json.loads(body or b'null'), head))
             answer = self.answers.get(path, (404, {}))
-            if answer == 'silent' or number <= self.silent_connections:
+            lost = len(self.calls) in self.unanswered_calls
+            silent = answer == 'silent' or number <= self.silent_connections
+            if silent or lost:
                 await trio.sleep_forever()
             if answer is None:
                 await stream.aclose()
--- /dev/null
+++ b/features/jobs/restarts.feature
@@ -0,0 +1,17 @@
+Feature: A worker that begins again under its id runs no task twice
+
+  Scenario: No task runs twice while workers lose power and begin again under their ids
+    Given a job cell of 3 nodes and 8 workers
+    When 200 jobs of 8 tasks come while each worker in turn is away for 1 second
+    And 20 seconds go by
+    Then all of these jobs are shown as "completed"
+    And the workers' record is clean
+
+  Scenario: A run that the new incarnation has started goes on
+    Given a job cell of 3 nodes and 1 workers
+    When a job of the steps "4" of 3 seconds is submitted
+    And the worker loses power just before its starts arrive
+    And 10 seconds go by
+    Then the job is shown as "completed" by every node
+    And each task of the job was started once
+    And the workers' record is clean
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -34,6 +34,26 @@
     When the worker is polled
     Then the report has 1 run and 1 end
 
+  Scenario: Ends are acknowledged over the connection that brought them
+    Given a platform whose worker lists a run, an end and malformed rows
+    When the worker is polled twice, with end 1 of incarnation 9 read
+    Then the ends up to "0, 1" were acknowledged by the polls
+
+  Scenario: No end of another incarnation is acknowledged
+    Given a platform whose worker lists a run, an end and malformed rows
+    When the worker is polled twice, with end 1 of incarnation 8 read
+    Then the ends up to "0, 0" were acknowledged by the polls
+
+  Scenario: Nothing is acknowledged over a new connection, which may lead to another incarnation
+    Given a platform whose worker lists a run, an end and malformed rows
+    When the worker closes its connection between two polls
+    Then the ends up to "0, 0" were acknowledged by the polls
+
+  Scenario: An unanswered acknowledgement is repeated once the same incarnation has answered
+    Given a platform whose worker lists a run, an end and malformed rows
+    When the worker is polled four times and loses the first acknowledgement
+    Then the ends up to "0, 1, 0, 1" were acknowledged by the polls
+
   Scenario: A poll refused for its token means that there is a newer owner
     Given a platform that answers "/-/hold" with 409 and reason "fence"
     When the worker is polled
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -10,57 +10,48 @@
 from behave import given, then, when
 from returns.result import Failure
 
-from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.model import (
     JobId,
     StepName,
     TaskName,
     Token,
-    WorkerEntry,
-    WorkerState,
 )
 from cyclamentrack.jobs.ports import (
     Batch,
     Conflict,
     Expect,
-    PollOrder,
     RowKey,
     StartOrder,
 )
-from cyclamentrack.resources import Resources
 from cyclamentrack_platform.entries import PlatformEntries
 from cyclamentrack_platform.settings import load_boot
 from cyclamentrack_platform.store import PlatformRows
 from cyclamentrack_platform.workers import PlatformPermits, PlatformWorkers
+from features.harness.canned import get_server, make_poll_order, make_worker
 from features.harness.wire import WireServer
 
 _LEASE_MS = 4321
+_INCARNATION = 9
 _DEPTH = 20_000
 _DEEP = b'[' * _DEPTH + b']' * _DEPTH
 _KEY = RowKey('t', 'p', 'k')
 
 
-def _server(context):
-    if not hasattr(context, 'wire'):
-        context.wire = WireServer()
-        context.add_cleanup(context.wire.close)
-    return context.wire
-
-
 @given('a platform that answers "{path}" with {status:d} and reason "{reason}"')
 @given('a platform that answers "{path}" with {status:d} and reason ""')
 def set_answer(context, path, status, reason=''):
     body = {'ClockMs': 5, 'Reason': reason, 'Ver': 3}
-    _server(context).answers[path] = (status, body)
+    get_server(context).answers[path] = (status, body)
 
 
 @given('a platform that closes the connection on "{path}"')
 def set_closed(context, path):
-    _server(context).answers[path] = None
+    get_server(context).answers[path] = None
 
 
 @given('a platform that no longer listens')
-def close_server(context):
+def closeget_server(context):
     server = WireServer()
     server.close()
     context.wire = server
@@ -68,18 +59,18 @@
 
 @given('a platform that never answers "{path}"')
 def set_silent(context, path):
-    _server(context).answers[path] = 'silent'
+    get_server(context).answers[path] = 'silent'
 
 
 @given('a platform whose worker lists a run, an end and malformed rows')
 def set_lists(context):
     body = {
         'ClockMs': 5,
-        'born': 9,
+        'born': _INCARNATION,
         'Running': [['00000000000000aa.0.1.2', 3, 'cp', 40, 12], ['junk']],
         'Finished': [[1, '00000000000000aa.0.0.0', 1, 'done', ''], [2]],
     }
-    _server(context).answers['/-/hold'] = (200, body)
+    get_server(context).answers['/-/hold'] = (200, body)
 
 
 _MALFORMED_ROWS = {
@@ -93,7 +84,7 @@
 def set_malformed_rows(context, fault):
     set_lists(context)
     run, end = _MALFORMED_ROWS[fault]
-    _, body = _server(context).answers['/-/hold']
+    _, body = get_server(context).answers['/-/hold']
     body['Running'].append(run)
     body['Finished'].append(end)
 
@@ -103,7 +94,7 @@
     body = text.encode().replace(rb'\xff', b'\xff')
     if text == 'deep':
         body = b'{"ClockMs":5,"X":%s}' % _DEEP
-    _server(context).answers[path] = (200, body)
+    get_server(context).answers[path] = (200, body)
 
 
 @given('a platform whose store has row "k" at the conflicting version 7')
@@ -111,20 +102,7 @@
     value = base64.b64encode(b'x').decode()
     row = {'Table': 't', 'part': 'p', 'Key': 'k', 'Value': value, 'Ver': 7}
     answer = (412, {'rows': [row], 'Ver': 9})
-    _server(context).answers['/-/rows-tx'] = answer
-
-
-def _worker(context):
-    return WorkerEntry(
-        id=WorkerId('i-1'),
-        pool=PoolName('pool'),
-        address=_server(context).address,
-        zone='z',
-        capacity=Resources(milli_cores=1, memory_mib=1),
-        labels=(),
-        state=WorkerState.READY,
-        incarnation=1,
-    )
+    get_server(context).answers['/-/rows-tx'] = answer
 
 
 @when('a run is started')
@@ -140,7 +118,7 @@
 
     async def start():
         return await PlatformWorkers().start(
-            worker=_worker(context), order=order
+            worker=make_worker(context), order=order
         )
 
     context.answer = trio.run(start)
@@ -170,23 +148,18 @@
 
 
 @when('the worker is polled')
-def poll_worker(context):
-    order = PollOrder(
-        token=Token(7),
-        acknowledged=0,
-        lease_until_ms=None,
-        wait_s=0,
-        answer_s=0.8,
-    )
+def pollmake_worker(context):
     context.answer = _caught(
-        lambda: PlatformWorkers().poll(worker=_worker(context), order=order),
+        lambda: PlatformWorkers().poll(
+            worker=make_worker(context), order=make_poll_order()
+        ),
     )
 
 
 @then('the report has 1 run and 1 end')
 def check_report(context):
     report = context.answer
-    assert report.incarnation == 9
+    assert report.incarnation == _INCARNATION
     assert len(report.running) == 1
     assert len(report.ended) == 1
 
@@ -194,13 +167,13 @@
 @when('a row is written')
 def write_row(context):
     batch = Batch(expected=(Expect(_KEY, 1),), puts=((_KEY, b'y'),))
-    rows = PlatformRows(address=_server(context).address)
+    rows = PlatformRows(address=get_server(context).address)
     context.answer = _caught(lambda: rows.commit(batch))
 
 
 @when('a feed is followed')
 def follow_feed(context):
-    rows = PlatformRows(address=_server(context).address)
+    rows = PlatformRows(address=get_server(context).address)
     context.answer = _caught(
         lambda: rows.follow(table='t', after=1, wait_s=0.1),
     )
@@ -208,7 +181,7 @@
 
 @when('permits are requested')
 def request_permits(context):
-    service = PlatformPermits(address=_server(context).address)
+    service = PlatformPermits(address=get_server(context).address)
     context.answer = _caught(
         lambda: service.request_permits(
             step=StepName(JobId('00000000000000aa'), 0, 0),
@@ -225,7 +198,7 @@
 
 @when('the store is asked for a {call}')
 def call_store(context, call):
-    rows = PlatformRows(address=_server(context).address)
+    rows = PlatformRows(address=get_server(context).address)
     calls = {
         'write': lambda: rows.commit(Batch(puts=((_KEY, b'y'),))),
         'scan': lambda: rows.scan(table='t', part=''),
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -121,6 +121,11 @@
         self.acknowledged = 0
         self._last_end_number = 0
 
+    def lose_power(self) -> None:
+        """Lose all state and answer nothing until ``unreachable`` is unset."""
+        self.unreachable = True
+        self.crash(incarnation=self.entry.incarnation + 1)
+
     def resize(self, entry: WorkerEntry) -> None:
         """Take over an entry; a smaller capacity holds only after a while."""
         self._former_capacity = self.entry.capacity
@@ -167,10 +172,12 @@
             current.stop_at = trio.current_time() + _STOP_DELAY_S
 
     def poll(self, order: PollOrder) -> None:
-        """Extend the lease and drop acknowledged ends."""
+        """Extend the lease and drop acknowledged ends of this incarnation."""
         self._check_token(order.token)
         if order.lease_until_ms is not None:
             self._extend(order.lease_until_ms)
+        if order.incarnation != self.entry.incarnation:
+            return
         self.acknowledged = max(self.acknowledged, order.acknowledged)
         for end in self.ends:
             if end.number <= order.acknowledged and end.end is End.DONE:
@@ -433,11 +440,15 @@
             ),
         )
         target = await self._reach(worker)
+        incarnation = target.entry.incarnation
         target.poll(order)
         with trio.move_on_after(order.wait_s):
             while not target.ends:
                 await trio.sleep(_TICK_S)
-        return (await self._reach(worker)).report()
+        report = (await self._reach(worker)).report()
+        if report.incarnation != incarnation:
+            raise WorkerUnreachableError(worker=worker.id, disconnected=True)
+        return report
 
     async def _reach(self, worker: WorkerEntry) -> MemoryWorker:
         await trio.sleep(_CALL_DELAY_S)
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -46,7 +46,9 @@
     clock. ``slowness`` is the ratio of the time that runs take on this worker
     to their typical time. A refused or closed connection makes the worker
     ``disconnected`` until its next answer. ``lost_runs`` are those that were
-    given up when its lease had ended without an answer.
+    given up when its lease had ended without an answer. ``processed`` and
+    ``acknowledged`` are the numbers of the last end of this incarnation that
+    was processed, and of the last one whose effects are stored.
     """
 
     entry: WorkerEntry
@@ -58,6 +60,7 @@
         default_factory=dict,
     )
     used: Resources = NO_RESOURCES
+    processed: int = 0
     acknowledged: int = 0
     clock_ms: int | None = None
     clock_at: float = 0.0
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -101,6 +101,7 @@
             placement.lease_until_ms = worker.lease_until_ms(
                 now=now, lease_s=owner.timings.worker_lease_s
             )
+        placement.sent = True
         job = owner.registry.jobs[placement.task.job].job
         return await owner.orders.start(
             worker=worker.entry,
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -208,11 +208,14 @@
 class PollOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Poll of a worker: extend the lease, acknowledge ends, wait for more.
 
-    The worker waits up to ``wait_s`` for a run to end; its answer may take
-    another ``answer_s``. Without ``lease_until_ms`` the lease stays as it is.
+    The ends up to ``acknowledged`` are those of one ``incarnation``. Another
+    one may answer the poll, but none of its ends are acknowledged. The worker
+    waits up to ``wait_s`` for a run to end; its answer may take another
+    ``answer_s``. Without ``lease_until_ms`` the lease stays as it is.
     """
 
     token: Token
+    incarnation: int
     acknowledged: int
     lease_until_ms: int | None
     wait_s: float
--- a/packages/cyclamentrack/cyclamentrack/jobs/recovery_leases.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/recovery_leases.py
@@ -79,6 +79,7 @@
                     worker=worker.entry,
                     order=PollOrder(
                         token=self._owner.claim.token,
+                        incarnation=worker.incarnation,
                         acknowledged=0,
                         lease_until_ms=until,
                         wait_s=0.0,
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -71,7 +71,8 @@
     Times are steady seconds except ``lease_until_ms``, which is on the
     worker's clock. ``percent`` is the progress, ``pace`` the speed of a
     best-effort run in percent, and ``reading`` the tail response time of a
-    serving run in milliseconds.
+    serving run in milliseconds. ``sent`` is set once a start order may have
+    reached the worker.
     """
 
     task: TaskName
@@ -82,6 +83,7 @@
     since: float
     instance: InstanceId = InstanceId('')
     permit: str = ''
+    sent: bool = False
     lease_until_ms: int | None = None
     confirmed_at: float = 0.0
     percent: float = 0.0
@@ -423,5 +425,6 @@
             phase=Phase.STARTING,
             since=now,
             instance=row.instance,
+            sent=True,
             resumed=True,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -123,6 +123,7 @@
             worker=worker.entry,
             order=PollOrder(
                 token=owner.claim.token,
+                incarnation=worker.incarnation,
                 acknowledged=worker.acknowledged,
                 lease_until_ms=lease,
                 wait_s=self._wait_s(sent_at),
@@ -162,16 +163,15 @@
         worker = self._worker
         now = trio.current_time()
         if report.incarnation != worker.incarnation:
-            self._apply_restart(report)
+            self._apply_restart(report, sent_at)
         worker.take_lost_runs()
         worker.record_clock(clock_ms=report.clock_ms, now=now)
         self._unanswered = 0
         self._apply_runs(report, sent_at)
-        newest = worker.acknowledged
         for end in report.ended:
-            if end.number > worker.acknowledged:
+            if end.number > worker.processed:
                 self._owner.handle_run_end(worker, end)
-                newest = max(newest, end.number)
+                worker.processed = end.number
         if not worker.contacted:
             worker.contacted = True
             self._retire_former_workers()
@@ -179,8 +179,8 @@
         self._pace()
         self._check_progress(now)
         self._evacuate()
-        if newest > worker.acknowledged:
-            await self._acknowledge(newest)
+        if worker.processed > worker.acknowledged:
+            await self._acknowledge(worker.processed)
             await trio.sleep(_END_COLLECTION_S)
 
     async def _acknowledge(self, newest: int) -> None:
@@ -193,20 +193,68 @@
             return
         await trio.sleep(_UNACKNOWLEDGED_PAUSE_S)
 
-    def _apply_restart(self, report: PollReport) -> None:
-        """Drop the runs of the worker's earlier incarnation."""
+    def _apply_restart(self, report: PollReport, sent_at: float) -> None:
+        """Drop the runs that ended with the worker's earlier incarnation.
+
+        Orders were still sent while its restart wasn't known. A run that the
+        new incarnation may have started from them is kept.
+        """
         worker = self._worker
-        worker.incarnation = report.incarnation
-        worker.acknowledged = 0
-        lost = [
+        former = [
             placement
             for placement in self._placements()
             if placement.incarnation != report.incarnation
         ]
+        lost = [
+            placement
+            for placement in former
+            if self._ended_at_restart(placement, report, sent_at)
+        ]
+        worker.incarnation = report.incarnation
+        worker.processed = 0
+        worker.acknowledged = 0
+        worker.failures = 0
+        # Leases sent meanwhile were for the clock of the earlier incarnation.
+        worker.lease_sent_at = max(worker.lease_sent_at, trio.current_time())
         self._handle_crash(
             worker, [*worker.take_lost_runs(), *lost], 'its worker restarted'
         )
-        worker.failures = 0
+        if worker.contacted:
+            _log.info(
+                'worker restarted worker=%s incarnation=%d lost=%d kept=%d',
+                worker.entry.id,
+                report.incarnation,
+                len(lost),
+                len(former) - len(lost),
+            )
+        for placement in former:
+            if placement not in lost:
+                self._keep_after_restart(placement, report)
+
+    def _ended_at_restart(
+        self, placement: Placement, report: PollReport, sent_at: float
+    ) -> bool:
+        """Return whether a run is certain not to run after a restart."""
+        if _lists(report, placement):
+            return False
+        if not self._worker.contacted:
+            return True
+        if placement.phase is Phase.STARTING:
+            return not placement.sent
+        return placement.confirmed_at < sent_at
+
+    def _keep_after_restart(
+        self, placement: Placement, report: PollReport
+    ) -> None:
+        """Move a run to the new incarnation; bar it unless it has started."""
+        placement.incarnation = report.incarnation
+        placement.lease_until_ms = None
+        placement.stop_acknowledged_at = 0.0
+        if placement.phase is Phase.RUNNING or _lists(report, placement):
+            return
+        step = self._owner.registry.step_of(placement.task)
+        if step is not None:
+            self._stop_run(placement, step)
 
     def _retire_former_workers(self) -> None:
         """Drop the runs of workers that this one's instance ran before."""
@@ -416,6 +464,10 @@
         task = self._owner.registry.task(placement.task)
         if task is not None:
             task.failed_on.add(placement.worker)
+        self._stop_run(placement, step)
+
+    def _stop_run(self, placement: Placement, step: StepRun) -> None:
+        """Stop a run, with its gang."""
         members = step.placed if step.step.gang else [placement]
         for member in members:
             self._owner.stop_run(member)
@@ -485,6 +537,14 @@
             self._move_run(placement, step, 'its worker is draining')
 
 
+def _lists(report: PollReport, placement: Placement) -> bool:
+    """Return whether a worker lists a run or its end."""
+    name = (placement.task, placement.run)
+    return any(
+        (one.task, one.run) == name for one in (*report.running, *report.ended)
+    )
+
+
 def _reading(placement: Placement, step: StepRun) -> ServingReading:
     return ServingReading(
         tail_ms=placement.reading, target_ms=step.step.serving_target_ms
