--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -7,6 +7,7 @@
 import trio
 
 _READ_BYTES = 65536
+_CLOSE_CHECK_S = 0.005
 
 
 class WireServer:
@@ -36,6 +37,11 @@
         self._thread.start()
         self._started.wait()
 
+    async def wait_until_closed(self, count):
+        """Wait for the server to close; before, a call can still be sent."""
+        while self.closes_after_reply and self.closed < count:
+            await trio.sleep(_CLOSE_CHECK_S)
+
     def close(self):
         trio.from_thread.run_sync(self._scope.cancel, trio_token=self._token)
         self._thread.join()
--- a/features/steps/acknowledgement_steps.py
+++ b/features/steps/acknowledgement_steps.py
@@ -34,7 +34,8 @@
         workers = PlatformWorkers()
         worker = make_worker(context)
         await workers.poll(worker=worker, order=make_poll_order())
-        for _ in range(polls - 1):
+        for number in range(1, polls):
+            await context.wire.wait_until_closed(number)
             order = make_poll_order(incarnation=incarnation, acknowledged=1)
             with contextlib.suppress(WorkerUnreachableError):
                 await workers.poll(worker=worker, order=order)
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -147,17 +147,11 @@
     async def run(client):
         for number in range(count):
             await client.call('POST', '/a', body={}, timeout_s=_LONG_TIMEOUT_S)
-            await _wait_until_closed(context.wire, number + 1)
+            await context.wire.wait_until_closed(number + 1)
 
     context.script.append(run)
 
 
-async def _wait_until_closed(wire, count):
-    """Wait for the server to close, or the next call could still be sent."""
-    while wire.closes_after_reply and wire.closed < count:
-        await trio.sleep(_SHORT_TIMEOUT_S / 10)
-
-
 @when('all open connections go silent')
 def silence_connections(context):
     async def run(client):
