Take no run for lost because a worker's list of ends is cut off

Cause: a worker lists 500 ends at a time. A run that an answer listed neither as running nor as ended was taken for lost, so the answer was read as if it were complete.

Change: a report says whether it is complete, by the number of rows and the platform's limit. Nothing is concluded from absence in one that isn't: at the first poll, after a restart, after a stop, or later. A worker isn't used by a new owner before its first complete report.

Ruled out: incomplete records (600 runs recovered) and acknowledgements before the commit.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -34,6 +34,16 @@
     When the worker is polled
     Then the report has 1 run and 1 end
 
+  Scenario Outline: A list of <count> ends is <whole>
+    Given a platform whose worker lists <count> ends
+    When the worker is polled
+    Then its report is <whole>
+
+    Examples:
+      | count | whole      |
+      | 499   | complete   |
+      | 500   | incomplete |
+
   Scenario: Ends are acknowledged over the connection that brought them
     Given a platform whose worker lists a run, an end and malformed rows
     When the worker is polled twice, with end 1 of incarnation 9 read
--- a/features/steps/acknowledgement_steps.py
+++ b/features/steps/acknowledgement_steps.py
@@ -3,7 +3,7 @@
 import contextlib
 
 import trio
-from behave import then, when
+from behave import given, then, when
 
 from cyclamentrack.errors import WorkerUnreachableError
 from cyclamentrack_platform.workers import PlatformWorkers
@@ -12,6 +12,19 @@
 _INCARNATION = 9
 
 
+@given('a platform whose worker lists {count:d} ends')
+def set_ends(context, count):
+    task = '00000000000000aa.0.0'
+    ends = [[one, f'{task}.{one}', 1, 'done', ''] for one in range(count)]
+    body = {'ClockMs': 5, 'Running': [], 'Finished': ends}
+    get_server(context).answers['/-/hold'] = (200, body)
+
+
+@then('its report is {whole}')
+def check_complete(context, whole):
+    assert context.answer.complete is (whole == 'complete')
+
+
 @when('the worker is polled twice, with end 1 of incarnation {number:d} read')
 def poll_twice(context, number):
     _poll_in_turn(context, number, polls=2)
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -43,6 +43,7 @@
 # one heartbeat of the worker.
 _RESIZE_GRACE_S = 4.5
 _MS_PER_S = 1000
+_MAX_ENDS = 500
 
 
 class Behaviour(msgspec.Struct, kw_only=True):
@@ -104,6 +105,7 @@
         self.ends: list[EndReport] = []
         self.barred_runs: dict[TaskName, int] = {}
         self.acknowledged = 0
+        self.most_waiting_ends = 0
         self._last_end_number = 0
         self._former_capacity = entry.capacity
         self._resized_at = 0.0
@@ -218,7 +220,8 @@
                 )
                 for (task, number), run in self.runs.items()
             ),
-            ended=tuple(self.ends),
+            ended=tuple(self.ends[:_MAX_ENDS]),
+            complete=len(self.ends) < _MAX_ENDS,
         )
 
     def _is_crasher(self, task: TaskName) -> bool:
@@ -273,6 +276,7 @@
                 checkpoint='',
             ),
         )
+        self.most_waiting_ends = max(self.most_waiting_ends, len(self.ends))
         self._workers.record_end(self, task, end)
 
     def _extend(self, until_ms: int) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -226,13 +226,15 @@
     """A worker's answer to a poll, with its active and ended runs.
 
     ``incarnation`` changes with each restart of the worker; ``clock_ms`` is
-    the time on its own clock.
+    the time on its own clock. Unless the report is ``complete``, more ends are
+    listed once these are acknowledged.
     """
 
     incarnation: int
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    complete: bool = True
 
 
 class OrderFencedError(CyclamentrackError):
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -172,7 +172,7 @@
             if end.number > worker.processed:
                 self._owner.handle_run_end(worker, end)
                 worker.processed = end.number
-        if not worker.contacted:
+        if report.complete and not worker.contacted:
             worker.contacted = True
             self._retire_former_workers()
             self._owner.wake()
@@ -235,7 +235,7 @@
         self, placement: Placement, report: PollReport, sent_at: float
     ) -> bool:
         """Return whether a run is certain not to run after a restart."""
-        if _lists(report, placement):
+        if not report.complete or _lists(report, placement):
             return False
         if not self._worker.contacted:
             return True
@@ -252,6 +252,8 @@
         placement.stop_acknowledged_at = 0.0
         if placement.phase is Phase.RUNNING or _lists(report, placement):
             return
+        if not self._worker.contacted:
+            return
         step = self._owner.registry.step_of(placement.task)
         if step is not None:
             self._stop_run(placement, step)
@@ -314,6 +316,8 @@
         for run in report.running:
             seen.add((run.task, run.run))
             self._apply_run(run)
+        if not report.complete:
+            return
         seen.update((end.task, end.run) for end in report.ended)
         for placement in self._placements():
             if (placement.task, placement.run) in seen:
