Contain the errors of one worker's entry and of its calls

Cause: the check of an address let pass what the client can't use, and an entry without fields that each worker writes was taken for a worker's. The pollers of all workers share the owner's nursery, so the ValueError of one client ended the owner.

Evidence: the traceback names the client's constructor.

Change: addresses are IPv4 with a port; entries that lack a field are skipped; an address that no client can be built for is "not sent". Any other unexpected error of a call to a worker counts as no answer (GuardedOrders), on polls, starts, stops, paces and recovery leases alike.

The valid entry of entry_steps.py has all fields of a worker now; before, it lacked some, which is what another writer's entry may.

--- a/features/harness/canned.py
+++ b/features/harness/canned.py
@@ -18,7 +18,8 @@
     return WorkerEntry(
         id=WorkerId('i-1'),
         pool=PoolName('pool'),
-        address=get_server(context).address,
+        address=getattr(context, 'address', None)
+        or get_server(context).address,
         zone='z',
         capacity=Resources(milli_cores=1, memory_mib=1),
         labels=(),
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -125,6 +125,30 @@
       | a host name               |
       | an unclosed bracket       |
       | a zero byte in its address |
+      | an IPv6 address           |
+      | an IPv6 address in brackets |
+      | a text as slots           |
+      | a number as label         |
+      | no Zone                   |
+      | no Version                |
+      | no Slots                  |
+      | no ColdRemainingMs        |
+      | no Capacity               |
+      | no Labels                 |
+      | no Sequence               |
+
+  Scenario Outline: A worker at the address "<address>" can't be called, and nothing else fails
+    Given a worker at the address "<address>"
+    When a run is started
+    Then the start's answer is "not sent"
+    When the worker is polled
+    Then the poll ends with "WorkerUnreachableError"
+
+    Examples:
+      | address       |
+      | ::1:8080      |
+      | 1.2.3.4:99999 |
+      | [::           |
 
   Scenario: A deeply nested configuration is skipped
     Then a configuration with very deep nesting is skipped
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -57,6 +57,11 @@
     context.wire = server
 
 
+@given('a worker at the address "{address}"')
+def set_worker_address(context, address):
+    context.address = address
+
+
 @given('a platform that never answers "{path}"')
 def set_silent(context, path):
     get_server(context).answers[path] = 'silent'
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -11,8 +11,14 @@
 _VALID_WORKER = {
     'Service': 's',
     'Address': '10.0.0.3:80',
+    'Zone': 'z',
+    'Version': 'v1',
+    'Slots': 8,
     'State': 'ready',
+    'ColdRemainingMs': 0,
     'Capacity': {'Cpu': 1, 'MemMb': 1},
+    'Labels': ['a', 'r1-3'],
+    'Sequence': 4,
 }
 _ODD_FIELDS = {
     'a number too large': {'born': 10**400},
@@ -25,7 +31,12 @@
     'a host name': {'Address': 'host:80'},
     'an unclosed bracket': {'Address': '[::'},
     'a zero byte in its address': {'Address': '10.0.0.3\0:80'},
+    'an IPv6 address': {'Address': '::1:8080'},
+    'an IPv6 address in brackets': {'Address': '[::1]:8080'},
+    'a text as slots': {'Slots': 'x'},
+    'a number as label': {'Labels': [1]},
 }
+_MISSING = 'no '
 _VALID_ROUTE = {'Name': 'a', 'PathPrefix': '/a/', 'Service': 's'}
 
 
@@ -34,8 +45,11 @@
     del context
     valid = json.dumps(_VALID_WORKER).encode()
     assert PlatformEntries().worker('i-1', valid) is not None
-    odd = json.dumps({**_VALID_WORKER, **_ODD_FIELDS.get(fault, {})}).encode()
-    if fault not in _ODD_FIELDS:
+    odd = {**_VALID_WORKER, **_ODD_FIELDS.get(fault, {})}
+    if fault.startswith(_MISSING):
+        odd.pop(fault.removeprefix(_MISSING))
+    odd = json.dumps(odd).encode()
+    if fault == 'very deep nesting':
         odd = valid.replace(b'{', b'{"X":%s,' % _DEEP, 1)
     assert PlatformEntries().worker('i-1', odd) is None, odd[:200]
 
--- a/features/steps/many_ends_steps.py
+++ b/features/steps/many_ends_steps.py
@@ -33,7 +33,7 @@
 def kill_before_ends(context):
     world = context.jobs
     world.loop.sleep(context.work_s / 2)
-    first = min(at for at, *_ in world.workers.starts)
+    first = min(start[0] for start in world.workers.starts)
     left_s = first + context.work_s - _BEFORE_S - world.loop.run(world.now)
     world.loop.sleep(left_s)
     world.kill_node(world.owner())
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -85,7 +85,8 @@
     """One worker, over all its incarnations.
 
     An ``unreachable`` worker answers no call but goes on with its runs, and one
-    that is ``disconnected`` refuses connections. Each
+    that is ``disconnected`` refuses connections. The client of one that is
+    ``unusable`` raises errors that nobody expects. Each
     of the next ``delayed_starts`` starts is left unanswered and carried out
     later. ``barred_runs`` has the highest run of each task that was stopped or
     ended; runs up to it can't start any more.
@@ -95,6 +96,7 @@
         """Start without runs."""
         self.entry = entry
         self.unreachable = False
+        self.unusable = False
         self.disconnected = False
         self.fails_all = False
         self.slowness = 1.0
@@ -389,7 +391,7 @@
     ) -> StartAnswer:
         """Order a worker to start a run."""
         await trio.sleep(_CALL_DELAY_S)
-        target = self._workers.workers[worker.id]
+        target = self._find(worker)
         if target.disconnected:
             return StartAnswer.NOT_SENT
         if target.unreachable:
@@ -454,9 +456,15 @@
             raise WorkerUnreachableError(worker=worker.id, disconnected=True)
         return report
 
+    def _find(self, worker: WorkerEntry) -> MemoryWorker:
+        target = self._workers.workers[worker.id]
+        if target.unusable:
+            raise ValueError(worker.address)
+        return target
+
     async def _reach(self, worker: WorkerEntry) -> MemoryWorker:
         await trio.sleep(_CALL_DELAY_S)
-        target = self._workers.workers[worker.id]
+        target = self._find(worker)
         if target.disconnected:
             raise WorkerUnreachableError(worker=worker.id, disconnected=True)
         if target.unreachable:
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -19,6 +19,7 @@
     claim_slice,
 )
 from cyclamentrack.jobs.feeds import FeedHealth
+from cyclamentrack.jobs.guarded_orders import GuardedOrders
 from cyclamentrack.jobs.journal import Journal, OwnershipLostError
 from cyclamentrack.jobs.messages import (
     AskPermits,
@@ -537,7 +538,7 @@
             journal=journal,
             dependencies=OwnerDependencies(
                 store=dependencies.store,
-                orders=dependencies.orders,
+                orders=GuardedOrders(orders=dependencies.orders),
                 entry_decoder=dependencies.entry_decoder,
                 tables=dependencies.tables,
                 timings=dependencies.timings,
