Count a failed run of a gang once, however many members fail

Cause: each failed member added a failure to all members. Now the number of the run decides: a run counts once.

"A gang of which two members fail in each run is tried as often as its queue says" failed before (shown as failed) and passes after; no start exceeds the allowed attempts in the second scenario. An owner that takes over between the two ends of one run may still count both.

--- a/features/steps/gang_steps.py
+++ b/features/steps/gang_steps.py
@@ -3,6 +3,7 @@
 from behave import given, when
 
 from cyclamentrack.jobs.model import JobId
+from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import make_step
 
 
@@ -19,3 +20,14 @@
     step = make_step(count, gang=True, cores=14)
     context.job = context.jobs.submit(step, queue='gangs', work_s=1.0)[0]
     context.submitted.append(context.job)
+
+
+@when(
+    'a gang of {count:d} tasks is submitted '
+    'whose members all fail {times:d} times'
+)
+def submit_failing_gang(context, count, times):
+    step = make_step(count, gang=True, cores=6)
+    job, outcome = context.jobs.submit(step, fails=times)
+    assert outcome is RequestOutcome.STORED, outcome
+    context.job = job
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -361,9 +361,10 @@
         if report.end is not End.FAILED:
             return
         self._count_failure(worker, task)
-        members = step.tasks if step.step.gang else [task]
-        for member in members:
-            member.failures += 1
+        if step.step.gang:
+            step.count_gang_failure(report.run)
+        else:
+            task.failures += 1
         entry = self.registry.jobs[step.name.job]
         limit = self.queue(entry).max_attempts
         if task.failures >= limit and not step.step.lasting:
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -127,6 +127,7 @@
     tasks: list[TaskRun]
     opened_at: float
     durations_s: list[float] = msgspec.field(default_factory=list)
+    failed_run: int = 0
 
     @property
     def done(self) -> bool:
@@ -153,6 +154,13 @@
             return statistics.median(self.durations_s)
         return self.step.estimate_s
 
+    def count_gang_failure(self, run: int) -> None:
+        """Count a failed run of a gang once, however many members failed."""
+        if run > self.failed_run:
+            self.failed_run = run
+            for task in self.tasks:
+                task.failures += 1
+
     def record(self) -> bytes:
         """Return the encoded state of the step's tasks for the store."""
         return encode(
