End a probe by time, and don't probe with gangs and lasting tasks

Cause: after a quarantine a worker gets one run until that run shows progress, and nothing else ended that. A gang that needs two tasks on the worker can't be placed, a lasting task never shows progress.

Change: runs that can't tell how well a worker works (gangs, lasting tasks) neither serve as a probe nor are limited by it, so fits_start and placing agree; a probe without a result ends after 6 s.

--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -115,7 +115,7 @@
             image=step.image,
         )
         self.used = self.used.plus(need)
-        if self.probing:
+        if self.probing and tells_health(step):
             self.probe_run = (task, run)
         if isolated:
             self.isolated_run = (task, run)
@@ -175,10 +175,22 @@
         """Clear the record of failures and end a probe."""
         self.failures = 0
         self.quarantine_s = 0.0
+        self.end_probe()
+
+    def end_probe(self) -> None:
+        """Let the worker have several new runs at a time again."""
         self.probing = False
         self.probe_run = None
 
 
+def tells_health(step: Step) -> bool:
+    """Return whether the run of a task shows how well its worker works.
+
+    Lasting tasks don't end, and a gang fails with any of its members.
+    """
+    return not (step.lasting or step.gang)
+
+
 def charge(step: Step) -> Resources:
     """Return the resources that a task of the step is charged for.
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.fleet import Worker, charge
+from cyclamentrack.jobs.fleet import Worker, charge, tells_health
 from cyclamentrack.jobs.model import Step
 from cyclamentrack.jobs.registry import StepRun, TaskRun
 from cyclamentrack.resources import NO_RESOURCES
@@ -167,7 +167,8 @@
         """Subtract one task from a worker's free capacity."""
         name = worker.entry.id
         left = self._free[name].minus(self._need)
-        self._free[name] = NO_RESOURCES if worker.probing else left
+        probed = worker.probing and tells_health(self._step)
+        self._free[name] = NO_RESOURCES if probed else left
         self._costs.pop(name, None)
         self._add(name)
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -26,6 +26,7 @@
     Progress,
     Slowdown,
     classify_progress,
+    end_long_probe,
     measure_slowdown,
     quarantine_worker,
     restart_ends_sooner,
@@ -401,6 +402,7 @@
 
     def _check_progress(self, now: float) -> None:
         """Check from the progress of its runs whether the worker is healthy."""
+        end_long_probe(self._worker, now)
         slowdowns: list[Slowdown] = []
         for placement in self._placements():
             step = self._owner.registry.step_of(placement.task)
--- a/packages/cyclamentrack/cyclamentrack/jobs/worker_health.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/worker_health.py
@@ -4,8 +4,9 @@
 quarantined after failures in a row of tasks that failed nowhere else, if a
 run makes no progress or is far behind its estimate, and if runs of several
 jobs are all slowed down. After the quarantine a worker is probed: it gets a
-single run until that run shows progress. A failed probe starts another, longer
-quarantine.
+single run until that run shows progress, or for a limited time if it shows
+neither progress nor a fault. A failed probe starts another, longer quarantine.
+Lasting tasks and gangs don't serve as probes.
 """
 
 import enum
@@ -46,6 +47,9 @@
 _RESTART_COST_S = 1.5
 _FIRST_QUARANTINE_S = 2.0
 _LONGEST_QUARANTINE_S = 6.0
+# A probe that shows nothing for this long ends. A stalled run shows itself in
+# half that time.
+_LONGEST_PROBE_S = 6.0
 _PERCENT = 100.0
 
 
@@ -192,6 +196,13 @@
     return remaining_s > restart_s + _RESTART_COST_S
 
 
+def end_long_probe(worker: Worker, now: float) -> None:
+    """End a probe that has shown neither progress nor a fault for long."""
+    if worker.probing and now >= worker.quarantined_until + _LONGEST_PROBE_S:
+        _log.info('probe without a result ended worker=%s', worker.entry.id)
+        worker.end_probe()
+
+
 def quarantine_worker(worker: Worker, now: float, *, why: str) -> None:
     """Quarantine a worker, each time in a row for twice as long, to a limit.
 
