Don't spend the last attempt of a task on a worker that still fails

Change: a failed task with one attempt left isn't started on a worker that was quarantined, before a run has shown that it works again or its probe has ended.

--- a/features/jobs/probes.feature
+++ b/features/jobs/probes.feature
@@ -9,6 +9,15 @@
     And 16 seconds go by
     Then the job is shown as "completed" by every node
 
+  Scenario: The last attempt of a gang isn't spent on a worker that still fails
+    Given a job cell of 3 nodes and 4 workers
+    And the first worker fails all that it starts
+    When a gang of 8 tasks with 2 on each worker is submitted
+    And 5 seconds go by
+    And the first worker works again
+    And 10 seconds go by
+    Then the job is shown as "completed" by every node
+
   Scenario: A lasting task on a worker that has failed doesn't withhold its capacity
     Given a job cell of 3 nodes and 4 workers
     And the first worker fails all that it starts
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -370,17 +370,30 @@
     def _allowed(
         self, step: StepRun, workers: list[Worker], known: StepPermits
     ) -> list[Worker]:
-        """Leave out workers that may not run a step or are at its limit."""
+        """Leave out workers that may not run a step or are at its limit.
+
+        The last attempt of a failed task isn't spent on a worker that has
+        been quarantined and hasn't been seen to work since.
+        """
         full = workers_at_limit(step)
+        cautious = self._on_last_attempt(step)
         return [
             worker
             for worker in workers
             if worker.entry.id not in full
+            and not (cautious and worker.probing)
             and not known.is_refused(
                 worker.entry.id, now=self.now, incarnation=worker.incarnation
             )
         ]
 
+    def _on_last_attempt(self, step: StepRun) -> bool:
+        if step.step.lasting:
+            return False
+        limit = self._registry.jobs[step.name.job].queue.max_attempts
+        failures = max(task.failures for task in step.tasks)
+        return 0 < failures >= limit - 1
+
 
 def _is_busy(workers: list[Worker]) -> bool:
     """Return whether much of the processors, memory or accelerators is used."""
