--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -392,7 +392,7 @@
             return False
         limit = self._registry.jobs[step.name.job].queue.max_attempts
         failures = max(task.failures for task in step.tasks)
-        return 0 < failures >= limit - 1
+        return failures > 0 and failures >= limit - 1
 
 
 def _is_busy(workers: list[Worker]) -> bool:
