--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -538,5 +538,8 @@
 
 
 async def _start_late(worker: MemoryWorker, order: StartOrder) -> None:
+    """Carry out a start late, unless the worker has lost all it held since."""
+    incarnation = worker.entry.incarnation
     await trio.sleep(_LATE_START_S)
-    worker.start(order)
+    if worker.entry.incarnation == incarnation:
+        worker.start(order)
