--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -28,6 +28,7 @@
     MemoryPermitService,
     MemoryWorkers,
 )
+from cyclamentrack_standins.links import Links
 from features.harness.loop import PausedLoop
 
 POOL = PoolName('booking')
@@ -47,13 +48,16 @@
 
 
 class _Peers:
-    def __init__(self, world):
+    def __init__(self, world, node):
         self._world = world
+        self._node = node
 
     async def call(self, *, address, message, timeout_s):
         await trio.sleep(0.001)
         service = self._world.services.get(address)
-        if service is None:
+        if service is None or not self._world.links.connected(
+            self._node, address
+        ):
             await trio.sleep(timeout_s)
             raise PeerUnreachableError(peer=address)
         return await service.answer_peer(message)
@@ -67,8 +71,9 @@
 
     def __init__(self, *, seed=1):
         self.loop = PausedLoop(seed=seed)
-        self.rows = MemoryRows()
-        self.workers = MemoryWorkers()
+        self.links = Links()
+        self.rows = MemoryRows(links=self.links)
+        self.workers = MemoryWorkers(links=self.links)
         self.permit_service = MemoryPermitService(decide_s=0.02, valid_s=2.0)
         self.services = {}
         self.permit_clients = {}
@@ -148,6 +153,11 @@
 
         self.loop.run(drop)
 
+    def restore_worker_entry(self, name):
+        """Write a worker's entry as its next heartbeat does."""
+        entry = self.workers.workers[name].entry
+        self.rows.put(RowKey('servers', '', name), msgspec.json.encode(entry))
+
     def start_node(self, name, **capacity):
         """Start a node; ``capacity`` sets fields of its ``Member``."""
         self.loop.run(self._start_node, name, capacity)
@@ -247,7 +257,7 @@
             ),
             dependencies=CellDependencies(
                 store=self.rows.client(name),
-                orders=self.workers.orders(),
+                orders=self.workers.orders(name),
                 permit_service=self.permit_clients[name],
                 entry_decoder=_EntryDecoder(),
                 tables=_TABLES,
@@ -256,7 +266,7 @@
                     drain_s=2.0,
                     status_s=120.0,
                 ),
-                peers=_Peers(self),
+                peers=_Peers(self, name),
                 wall_clock=trio.current_time,
                 steady_clock=self._steady_clock,
             ),
--- /dev/null
+++ b/features/jobs/partitions.feature
@@ -0,0 +1,66 @@
+Feature: An owner that is partitioned with some of its workers runs no task twice
+
+  Background:
+    Given a job cell of 3 nodes and 6 workers
+
+  Scenario: A partitioned owner lets the leases of its island's workers end
+    Given a running job of 30 tasks of 30 seconds
+    When the owner and 2 workers are partitioned from all others for 16 seconds
+    And 90 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: Tasks go on with a partitioned owner that reaches most workers
+    Given a running job of 30 tasks of 30 seconds
+    When the owner and 4 workers are partitioned from all others for 16 seconds
+    And 60 seconds go by
+    Then the job is shown as "completed" by every node
+    And each of its tasks was started 1 time at most
+    And the workers' record is clean
+
+  Scenario: A successor of a successor starts no task of a partitioned owner's workers
+    Given a running job of 30 tasks of 30 seconds
+    When the owner and 4 workers are partitioned from all others for 24 seconds
+    And the store forgets the entries of these workers after 4 seconds
+    And the successor is killed after 12 seconds
+    And 60 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: A worker that begins again doesn't vouch for a partitioned owner
+    Given a running job of 30 tasks of 30 seconds
+    When the owner and 3 workers are partitioned from all others for 24 seconds
+    And a worker that the successor has reached begins again on the island
+    And 90 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: Of two workers, the one that a partitioned owner reaches stops
+    Given a job cell of 3 nodes and 2 workers
+    And a running job of 8 tasks of 30 seconds
+    When the owner and 1 worker are partitioned from all others for 20 seconds
+    And 90 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: The tasks of lost workers start again although most workers were lost
+    Given a running job of 12 tasks of 60 seconds
+    When the owner is killed and 4 workers are lost for good
+    And 120 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: A partitioned owner with most workers stops before its successor takes their leases for ended
+    Given a running job of 30 tasks of 90 seconds
+    When the owner and 4 workers are partitioned from all others for 60 seconds
+    And 200 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: Tasks outlast an outage of the store that takes longer than their leases
+    Given a running job of 30 tasks of 24 seconds
+    When the store answers nobody for 20 seconds
+    And 30 seconds go by
+    Then the job is shown as "completed" by every node
+    And each of its tasks was started 1 time at most
+    And the workers' record is clean
--- /dev/null
+++ b/features/steps/partition_steps.py
@@ -0,0 +1,108 @@
+"""Steps about an owner that is partitioned with some of its workers."""
+
+import trio
+from behave import given, when
+
+from cyclamentrack.jobs.service import RequestOutcome
+from features.harness.jobworld import make_step
+
+
+def _world(context):
+    return context.jobs
+
+
+@given('a running job of {tasks:d} tasks of {work:g} seconds')
+def start_job(context, tasks, work):
+    world = _world(context)
+    job, outcome = world.submit(make_step(tasks, estimate=work), work_s=work)
+    assert outcome is RequestOutcome.STORED, outcome
+    context.job = job
+    world.loop.sleep(3)
+    running = sum(len(one.runs) for one in world.workers.workers.values())
+    assert running == tasks, running
+
+
+def _partition(context, count):
+    world = _world(context)
+    context.former_owner = world.owner()
+    context.island = sorted(world.workers.workers)[:count]
+    world.links.isolate(context.former_owner, *context.island)
+
+
+def _successor(context):
+    cells = _world(context).cells
+    for name, cell in cells.items():
+        if cell.owners and name != context.former_owner:
+            return name
+    raise AssertionError('no successor')
+
+
+@when(
+    'the owner and {count:d} {noun} are partitioned from all others '
+    'for {seconds:g} seconds'
+)
+def partition_for(context, count, noun, seconds):
+    del noun
+    _partition(context, count)
+    world = _world(context)
+
+    async def heal():
+        await trio.sleep(seconds)
+        world.links.heal()
+        for name in context.island:
+            world.restore_worker_entry(name)
+
+    async def heal_later():
+        world.loop.nursery.start_soon(heal)
+
+    world.loop.run(heal_later)
+
+
+@when(
+    'the store forgets the entries of these workers after {seconds:g} seconds'
+)
+def forget_entries(context, seconds):
+    world = _world(context)
+    world.loop.sleep(seconds)
+    for name in context.island:
+        world.drop_worker_entry(int(name.removeprefix('w')))
+
+
+@when('the successor is killed after {seconds:g} seconds')
+def kill_successor(context, seconds):
+    world = _world(context)
+    world.loop.sleep(seconds)
+    world.kill_node(_successor(context))
+
+
+@when('a worker that the successor has reached begins again on the island')
+def restart_on_island(context):
+    """The third of six workers beside the owner makes four of them."""
+    world = _world(context)
+    world.loop.sleep(8)
+    restarted = max(world.workers.workers)
+    assert restarted not in context.island
+    worker = world.workers.workers[restarted]
+    worker.lose_power()
+    worker.unreachable = False
+    world.links.heal()
+    context.island = [*context.island, restarted]
+    world.links.isolate(context.former_owner, *context.island)
+
+
+@when('the owner is killed and {count:d} workers are lost for good')
+def lose_most(context, count):
+    world = _world(context)
+    world.kill_node(world.owner())
+    for name in sorted(world.workers.workers)[:count]:
+        world.workers.workers[name].vanish()
+        world.workers.workers[name].unreachable = True
+        world.drop_worker_entry(int(name.removeprefix('w')))
+
+
+@when('the store answers nobody for {seconds:g} seconds')
+def lose_store(context, seconds):
+    world = _world(context)
+    world.rows.down = True
+    world.loop.sleep(seconds)
+    world.rows.down = False
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -19,6 +19,7 @@
     StoredRow,
     StoreRefusedError,
 )
+from cyclamentrack_standins.links import STORE, Links
 
 _CALL_DELAY_S = 0.004
 _LOST_REPLY_S = 1.0
@@ -38,8 +39,9 @@
     wait, others are refused.
     """
 
-    def __init__(self) -> None:
-        """Start without rows and without faults."""
+    def __init__(self, *, links: Links | None = None) -> None:
+        """Start without rows and faults; ``links`` tells who reaches it."""
+        self.links = links or Links()
         self.rows: dict[RowKey, StoredRow] = {}
         self.version = 0
         self.down = False
@@ -211,7 +213,9 @@
             raise StoreRefusedError(status=503)
         if self._node in self._rows.reset_nodes:
             raise StoreUncertainError(message='connection reset')
-        if self._rows.down or part in self._rows.unanswered_parts:
+        connected = self._rows.links.connected(self._node, STORE)
+        down = self._rows.down or not connected
+        if down or part in self._rows.unanswered_parts:
             await self._lose_reply()
 
     async def _lose_reply(self) -> None:
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -32,6 +32,7 @@
     StartOrder,
 )
 from cyclamentrack.resources import NO_RESOURCES, Resources
+from cyclamentrack_standins.links import Links
 
 _CALL_DELAY_S = 0.002
 _UNREACHABLE_S = 0.8
@@ -293,8 +294,9 @@
 class MemoryWorkers:
     """All workers of a test, and the record of their runs and polls."""
 
-    def __init__(self) -> None:
-        """Start without workers."""
+    def __init__(self, *, links: Links | None = None) -> None:
+        """Start without workers; ``links`` tells which nodes reach them."""
+        self.links = links or Links()
         self.workers: dict[WorkerId, MemoryWorker] = {}
         self.behaviours: dict[tuple[str, int], Behaviour] = {}
         self.acknowledged_tasks: set[TaskName] = set()
@@ -361,9 +363,9 @@
         if end is End.DONE:
             self.completed_tasks.add(task)
 
-    def orders(self) -> 'MemoryOrders':
-        """Return a client that sends orders to the workers."""
-        return MemoryOrders(workers=self)
+    def orders(self, node: str = '') -> 'MemoryOrders':
+        """Return a client that sends a node's orders to the workers."""
+        return MemoryOrders(workers=self, node=node)
 
     def _check_checkpoint(self, order: StartOrder) -> None:
         """Record members of one gang run that start at unequal checkpoints."""
@@ -381,9 +383,10 @@
 class MemoryOrders:
     """Client of the workers; it simulates delays and faults."""
 
-    def __init__(self, *, workers: MemoryWorkers) -> None:
-        """Send orders to these workers."""
+    def __init__(self, *, workers: MemoryWorkers, node: str) -> None:
+        """Send orders of a node to these workers."""
         self._workers = workers
+        self._node = node
         self._non_waiting_polls = 0
 
     async def start(
@@ -394,7 +397,7 @@
         target = self._find(worker)
         if target.disconnected:
             return StartAnswer.NOT_SENT
-        if target.unreachable:
+        if self._is_unreachable(target):
             await trio.sleep(order.answer_s)
             return StartAnswer.NO_ANSWER
         if target.delayed_starts > 0:
@@ -467,11 +470,17 @@
         target = self._find(worker)
         if target.disconnected:
             raise WorkerUnreachableError(worker=worker.id, disconnected=True)
-        if target.unreachable:
+        if self._is_unreachable(target):
             await trio.sleep(_UNREACHABLE_S)
             raise WorkerUnreachableError(worker=worker.id)
         return target
 
+    def _is_unreachable(self, target: MemoryWorker) -> bool:
+        links = self._workers.links
+        return target.unreachable or not links.connected(
+            self._node, target.entry.id
+        )
+
 
 class MemoryPermitService:
     """Grants permits and records the calls.
