Log when an owner's claim is unconfirmed, and which workers answer it

'claim unconfirmed' and 'claim confirmed again' give token, time and the workers that answer, once per outage.

--- a/features/jobs/partitions.feature
+++ b/features/jobs/partitions.feature
@@ -64,3 +64,9 @@
     Then the job is shown as "completed" by every node
     And each of its tasks was started 1 time at most
     And the workers' record is clean
+
+  Scenario: The log tells for how long an owner is unconfirmed, and which workers answer it
+    Given the log about claims is recorded
+    When the owner and 2 workers are partitioned from all others for 10 seconds
+    And 8 seconds go by
+    Then a line says that the claim is unconfirmed while w0,w1 answer
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -1,8 +1,11 @@
 """Steps about an owner that is partitioned with some of its workers."""
 
+from unittest import mock
+
 import trio
-from behave import given, when
+from behave import given, then, when
 
+from cyclamentrack.jobs import cell
 from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import make_step
 
@@ -31,8 +34,8 @@
 
 def _successor(context):
     cells = _world(context).cells
-    for name, cell in cells.items():
-        if cell.owners and name != context.former_owner:
+    for name, node in cells.items():
+        if node.owners and name != context.former_owner:
             return name
     raise AssertionError('no successor')
 
@@ -106,3 +109,20 @@
     world.rows.down = True
     world.loop.sleep(seconds)
     world.rows.down = False
+
+
+@given('the log about claims is recorded')
+def record_log(context):
+    recorded = mock.patch.object(cell, '_log')
+    context.log = recorded.start()
+    context.add_cleanup(recorded.stop)
+
+
+@then('a line says that the claim is unconfirmed while {workers} answer')
+def check_log(context, workers):
+    lines = [
+        call.args[0] % call.args[1:] for call in context.log.warning.mock_calls
+    ]
+    found = [line for line in lines if line.startswith('claim unconfirmed')]
+    assert found, lines
+    assert found[0].endswith(f'workers=6 answering={workers}'), found
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -88,6 +88,7 @@
 _UPGRADE_CHECK_S = 6.0
 _PEER_MARGIN_S = 0.2
 _NOTIFY_TIMEOUT_S = 0.5
+_WORKERS_LOGGED = 40
 
 
 class CellDependencies(msgspec.Struct, frozen=True, kw_only=True):
@@ -588,10 +589,14 @@
 
     async def _renew(self, owner: SliceOwner, renewer: LeaseRenewer) -> None:
         failing_since: float | None = None
+        unconfirmed = False
         while True:
             began = trio.current_time()
             if await self._renew_once(owner, renewer):
+                if failing_since is not None and unconfirmed:
+                    _log_claim('claim confirmed again', owner, failing_since)
                 failing_since = None
+                unconfirmed = False
                 lag_s = self.dependencies.timeouts.lag_s
                 await trio.sleep(
                     max(RENEW_S - _RENEWAL_LOOP_PASSES * lag_s, _RETRY_S)
@@ -601,6 +606,9 @@
                 failing_since = began
             elif trio.current_time() - failing_since > _TRANSFER_AFTER_S:
                 await self._transfer_unreachable(owner)
+                if not unconfirmed:
+                    _log_claim('claim unconfirmed', owner, failing_since)
+                unconfirmed = True
             await trio.sleep(_RETRY_S)
 
     async def _renew_once(
@@ -712,6 +720,22 @@
             _log.info('slice released pool=%s', pool)
 
 
+def _log_claim(event: str, owner: SliceOwner, failing_since: float) -> None:
+    """Log whether a claim is confirmed, and which workers answer its owner."""
+    now = trio.current_time()
+    workers = owner.fleet.workers.values()
+    answering = [one.entry.id for one in workers if one.answers(now=now)]
+    _log.warning(
+        '%s pool=%s token=%d for_s=%.1f workers=%d answering=%s',
+        event,
+        owner.claim.pool,
+        owner.claim.token,
+        now - failing_since,
+        len(workers),
+        ','.join(answering[:_WORKERS_LOGGED]),
+    )
+
+
 def _first_cause(error: BaseException) -> BaseException:
     """Return the first error in nested exception groups."""
     while isinstance(error, BaseExceptionGroup):
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -25,6 +25,8 @@
 # When one order goes unanswered, more do within the next seconds, so polls
 # stay short for this long.
 _UNANSWERED_WINDOW_S = 6.0
+# Polls wait for 1.5 s at most.
+_ANSWERING_S = 2.0
 # Estimates are inexact, so one run changes a worker's known speed only by this
 # share.
 _LEARNING_RATE = 0.1
@@ -103,6 +105,10 @@
         ready = self.entry.state is WorkerState.READY
         return all((known, connected, current, heard, ready))
 
+    def answers(self, *, now: float) -> bool:
+        """Return whether the worker has answered a call recently."""
+        return bool(self.heard_at) and now - self.heard_at < _ANSWERING_S
+
     def charge_run(
         self, *, task: TaskName, run: int, step: Step, isolated: bool = False
     ) -> None:
