Extend leases only on proof that no successor may take them for ended

Cause: an owner that a partition cuts off from the store and from the other nodes, but not from all workers, extended their leases for as long as the partition lasted; its successor, which reached none of these workers, waited for a lease and 2 s and started their tasks again. The record fits it: the two nodes of one zone lose their feeds at the same moment, three calls each time out, and several tasks start again within 3 ms, 8.2 to 8.5 s after the moment at which a lost owner's slice is claimed.

Ruled out: a paused owner (it counts no failures, and its neighbour has none), and a restarted worker or a list that was cut off (restarts follow the answer of one worker).

Without a confirmation of the store for 2 s, an owner extends leases only while more than half of them answer it, and for 30 s in all. A successor gives up workers that it can't reach only once half of the voters have answered it, or after 30 s. Two such groups share a worker, which refuses the lower token. A worker that has begun again doesn't vouch, and voters change only once the predecessor is out.

--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -5,7 +5,7 @@
 import trio
 from behave import given, then, when
 
-from cyclamentrack.jobs import cell
+from cyclamentrack.jobs import claim_health
 from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import make_step
 
@@ -113,7 +113,7 @@
 
 @given('the log about claims is recorded')
 def record_log(context):
-    recorded = mock.patch.object(cell, '_log')
+    recorded = mock.patch.object(claim_health, '_log')
     context.log = recorded.start()
     context.add_cleanup(recorded.stop)
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -8,9 +8,11 @@
 import msgspec
 import trio
 
+from cyclamentrack.clocks import suspended_s
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.claim_health import ClaimHealth
 from cyclamentrack.jobs.claim_order import capacity_classes, claim_delays_s
 from cyclamentrack.jobs.claims import (
     RENEW_S,
@@ -88,7 +90,6 @@
 _UPGRADE_CHECK_S = 6.0
 _PEER_MARGIN_S = 0.2
 _NOTIFY_TIMEOUT_S = 0.5
-_WORKERS_LOGGED = 40
 
 
 class CellDependencies(msgspec.Struct, frozen=True, kw_only=True):
@@ -105,6 +106,7 @@
     timeouts: LagAwareTimeouts = msgspec.field(default_factory=LagAwareTimeouts)
     metrics: Metrics = msgspec.field(default_factory=Metrics)
     steady_clock: Callable[[], float] = time.perf_counter
+    suspended_s: Callable[[], float] = suspended_s
 
 
 def _ignore(found: object) -> None:
@@ -517,6 +519,7 @@
                 lease_tracker=self.lease_tracker,
                 pool=pool,
                 lease=lease,
+                suspended_s=self.dependencies.suspended_s,
             )
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.warning('claim of pool=%s failed: %s', pool, error)
@@ -548,6 +551,7 @@
                 metrics=dependencies.metrics,
                 wall_clock=dependencies.wall_clock,
                 steady_clock=dependencies.steady_clock,
+                suspended_s=dependencies.suspended_s,
             ),
         )
         renewer = LeaseRenewer(
@@ -588,27 +592,19 @@
             self._renewers.pop(pool)
 
     async def _renew(self, owner: SliceOwner, renewer: LeaseRenewer) -> None:
-        failing_since: float | None = None
-        unconfirmed = False
+        health = ClaimHealth(owner=owner)
         while True:
             began = trio.current_time()
             if await self._renew_once(owner, renewer):
-                if failing_since is not None and unconfirmed:
-                    _log_claim('claim confirmed again', owner, failing_since)
-                failing_since = None
-                unconfirmed = False
+                health.note_success()
                 lag_s = self.dependencies.timeouts.lag_s
                 await trio.sleep(
                     max(RENEW_S - _RENEWAL_LOOP_PASSES * lag_s, _RETRY_S)
                 )
                 continue
-            if failing_since is None:
-                failing_since = began
-            elif trio.current_time() - failing_since > _TRANSFER_AFTER_S:
+            if health.note_failure(began) > _TRANSFER_AFTER_S:
                 await self._transfer_unreachable(owner)
-                if not unconfirmed:
-                    _log_claim('claim unconfirmed', owner, failing_since)
-                unconfirmed = True
+                health.note_unconfirmed()
             await trio.sleep(_RETRY_S)
 
     async def _renew_once(
@@ -620,8 +616,10 @@
             waiting = owner.registry.waiting()
             shapes = owner.fleet.shapes
         with self.dependencies.timeouts.limit(_RENEW_TIMEOUT_S):
+            requested_at = owner.quorum.now
             try:
-                await renewer.renew(waiting=waiting, shapes=shapes)
+                if await renewer.renew(waiting=waiting, shapes=shapes):
+                    owner.quorum.confirm(requested_at)
             except (StoreUncertainError, StoreRefusedError) as error:
                 _log.warning(
                     'lease not renewed pool=%s: %s', owner.claim.pool, error
@@ -720,22 +718,6 @@
             _log.info('slice released pool=%s', pool)
 
 
-def _log_claim(event: str, owner: SliceOwner, failing_since: float) -> None:
-    """Log whether a claim is confirmed, and which workers answer its owner."""
-    now = trio.current_time()
-    workers = owner.fleet.workers.values()
-    answering = [one.entry.id for one in workers if one.answers(now=now)]
-    _log.warning(
-        '%s pool=%s token=%d for_s=%.1f workers=%d answering=%s',
-        event,
-        owner.claim.pool,
-        owner.claim.token,
-        now - failing_since,
-        len(workers),
-        ','.join(answering[:_WORKERS_LOGGED]),
-    )
-
-
 def _first_cause(error: BaseException) -> BaseException:
     """Return the first error in nested exception groups."""
     while isinstance(error, BaseExceptionGroup):
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -7,6 +7,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 import msgspec
 import trio
@@ -225,11 +226,15 @@
     lease_tracker: LeaseTracker,
     pool: PoolName,
     lease: Lease,
+    suspended_s: Callable[[], float],
 ) -> Claim | None:
     """Claim a slice, or return ``None`` if another node was faster.
 
+    ``suspended_s`` is how long the machine has been suspended so far.
+
     Raises ``StoreRefusedError`` or ``StoreUncertainError``.
     """
+    suspended_before_s = suspended_s()
     began = trio.current_time()
     head = await store.read(head_key(pool))
     seen = lease_tracker.seen.get(pool)
@@ -264,7 +269,9 @@
         pool=pool,
         id=lease.claim,
         token=Token(answer.version),
+        requested_at=began,
         claimed_at=trio.current_time(),
+        suspended_s=suspended_before_s,
     )
 
 
@@ -284,19 +291,22 @@
         *,
         waiting: dict[QueueName, int] | None,
         shapes: tuple[Shape, ...] = (),
-    ) -> None:
+    ) -> bool:
         """Renew the lease once; without ``waiting`` its count stays as it is.
 
         ``shapes`` are added to those that earlier owners have seen. A released
-        lease isn't renewed any more. Raises ``OwnershipLostError`` if another
-        claim has replaced the lease.
+        lease isn't renewed any more; return whether the store has confirmed
+        the claim. Raises ``OwnershipLostError`` if another claim has replaced
+        the lease.
         """
         async with self._write_lock:
-            if not self._lease.released:
-                await self._write(
-                    waiting=self._lease.waiting if waiting is None else waiting,
-                    shapes=_merge_shapes(self._lease.shapes, shapes),
-                )
+            if self._lease.released:
+                return False
+            await self._write(
+                waiting=self._lease.waiting if waiting is None else waiting,
+                shapes=_merge_shapes(self._lease.shapes, shapes),
+            )
+        return True
 
     async def release(self) -> None:
         """Mark the lease as released, so that any node may claim the slice."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -163,11 +163,15 @@
         passed = now - self.clock_at + lease_s
         return self.clock_ms + int(passed * _MS_PER_S)
 
-    def leases_expired(self, *, now: float, lease_s: float) -> bool:
-        """Return whether all leases of the worker have certainly ended."""
-        return (
-            now > self.lease_sent_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
-        )
+    def leases_expired(
+        self, *, now: float, lease_s: float, former_sent_at: float
+    ) -> bool:
+        """Return whether all leases of the worker have certainly ended.
+
+        A former owner may have extended them until ``former_sent_at``.
+        """
+        sent_at = max(self.lease_sent_at, former_sent_at)
+        return now > sent_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
 
     def learn_speed(
         self, worked_s: float, typical_s: float, step: Step
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -10,6 +10,7 @@
 
 from cyclamentrack.codec import decode
 from cyclamentrack.errors import StoreUncertainError
+from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import HEAD
 from cyclamentrack.jobs.model import Job, JobId, JobState, Queue
@@ -25,6 +26,8 @@
 from cyclamentrack.jobs.records import (
     JOBS,
     STEPS,
+    VOTERS,
+    Voter,
     cancel_key,
     cancel_key_beside,
     cancelled_job,
@@ -67,13 +70,14 @@
     async def recover(self) -> int:
         """Read the registry of earlier owners; return the version to follow."""
         records = await self._scan(STEPS, self._owner.claim.pool)
+        self._load_voters(records)
         for row in records.rows:
             if '.' not in row.key.key and row.key.key != HEAD:
                 closed = decode(row.body, Closed)
                 self._owner.registry.closed[JobId(row.key.key)] = closed
         version = await self._read_jobs()
         for row in records.rows:
-            if '.' in row.key.key:
+            if '.' in row.key.key and row.key.key != VOTERS:
                 self._restore_step(row)
         for entry in list(self._owner.registry.jobs.values()):
             self._continue_job(entry)
@@ -134,6 +138,18 @@
                 if await self._remove_job(job):
                     self._forget(job)
 
+    def _load_voters(self, records: Page) -> None:
+        """Load the former owner's voters; malformed ones stay unknown."""
+        voters: dict[WorkerId, Voter] = {}
+        for row in records.rows:
+            if row.key.key == VOTERS:
+                try:
+                    voters = decode(row.body, dict[WorkerId, Voter])
+                except msgspec.ValidationError as error:
+                    _log.error('voters not decoded: %s', error)
+                    return
+        self._owner.quorum.load_voters(voters)
+
     def _continue_job(self, entry: JobRun) -> None:
         if entry.job.id in self._owner.registry.cancels:
             self._owner.close(entry, JobState.CANCELLED)
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -99,7 +99,8 @@
             now = trio.current_time()
             worker.lease_sent_at = now
             placement.lease_until_ms = worker.lease_until_ms(
-                now=now, lease_s=owner.timings.worker_lease_s
+                now=now - owner.quorum.overdue_s,
+                lease_s=owner.timings.worker_lease_s,
             )
         placement.sent = True
         job = owner.registry.jobs[placement.task.job].job
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -20,6 +20,7 @@
 from cyclamentrack.jobs.intake import JobIntake
 from cyclamentrack.jobs.journal import Journal
 from cyclamentrack.jobs.launch import Launcher, stop_until_ended
+from cyclamentrack.jobs.lease_quorum import LeaseQuorum
 from cyclamentrack.jobs.loop_load import LoopLoad
 from cyclamentrack.jobs.model import (
     Configuration,
@@ -57,6 +58,7 @@
     TaskRun,
 )
 from cyclamentrack.jobs.rounds import Assignment, Round
+from cyclamentrack.jobs.voters import VoterRecorder
 from cyclamentrack.jobs.worker_feed import WorkerFeed
 from cyclamentrack.jobs.worker_health import (
     EstimateAccuracy,
@@ -94,6 +96,7 @@
     metrics: Metrics
     wall_clock: Callable[[], float]
     steady_clock: Callable[[], float]
+    suspended_s: Callable[[], float]
 
 
 class SliceOwner:
@@ -106,6 +109,9 @@
         self.claim = claim
         self.registry = JobRegistry()
         self.fleet = Fleet()
+        self.quorum = LeaseQuorum(
+            claim=claim, suspended_s=dependencies.suspended_s
+        )
         self.estimate_accuracy = EstimateAccuracy()
         self.journal = journal
         self.loop_load = LoopLoad(
@@ -164,6 +170,7 @@
             nursery.start_soon(intake.follow, jobs_version)
             nursery.start_soon(worker_feed.follow)
             nursery.start_soon(worker_feed.drop_unlisted_runs)
+            nursery.start_soon(VoterRecorder(owner=self).run)
             nursery.start_soon(intake.remove_expired_jobs)
             self.recovered.set()
             self.metrics.observe(
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -6,6 +6,7 @@
 
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.model import (
+    InstanceId,
     JobId,
     QueueName,
     Shape,
@@ -18,6 +19,7 @@
 CLAIMS = 'claims'
 MEMBERS = 'members'
 STEPS = 'journal'
+VOTERS = '.voters'
 
 _CANCEL_MARK = '/cancel'
 _PART_MARK = '/'
@@ -139,14 +141,34 @@
     return RowKey(MEMBERS, '', node)
 
 
+def voters_key(pool: PoolName) -> RowKey:
+    """Return the key of the record of a slice's voters.
+
+    Versions without voters read it as the step of a job that has ended, and
+    remove it.
+    """
+    return RowKey(STEPS, pool, VOTERS)
+
+
+class Voter(msgspec.Struct, frozen=True, array_like=True):
+    """One incarnation of a worker whose answers vouch for a slice's owner."""
+
+    incarnation: int
+    instance: InstanceId
+
+
 class Claim(msgspec.Struct, frozen=True, kw_only=True):
     """A successful claim and its fencing token.
 
     The token is also the version of the head and lease rows that the claim
-    wrote. ``claimed_at`` is in seconds of trio's clock.
+    wrote. ``requested_at`` and ``claimed_at`` are the times before the call to
+    the store and after its answer, in seconds of trio's clock;
+    ``suspended_s`` is how long the machine had been suspended before the call.
     """
 
     pool: PoolName
     id: str
     token: Token
+    requested_at: float
     claimed_at: float
+    suspended_s: float = 0.0
--- a/packages/cyclamentrack/cyclamentrack/jobs/recovery_leases.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/recovery_leases.py
@@ -68,9 +68,12 @@
     async def _extend_lease(self, worker: Worker) -> None:
         """Poll one worker; extend its lease if it answered the last poll."""
         while True:
+            quorum = self._owner.quorum
+            asked_at = quorum.now
             now = trio.current_time()
             until = worker.lease_until_ms(
-                now=now, lease_s=self._owner.timings.worker_lease_s
+                now=now - quorum.overdue_s,
+                lease_s=self._owner.timings.worker_lease_s,
             )
             if until is not None:
                 self._owner.recovery_leases_sent_at[worker.entry.id] = now
@@ -89,6 +92,11 @@
             except WorkerUnreachableError:
                 worker.clock_ms = None
             else:
+                quorum.note_answer(
+                    worker.entry,
+                    incarnation=report.incarnation,
+                    asked_at=asked_at,
+                )
                 worker.record_clock(
                     clock_ms=report.clock_ms, now=trio.current_time()
                 )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -95,11 +96,19 @@
             await self._apply_answer(report, sent_at)
 
     async def _poll(self, sent_at: float) -> PollReport | None:
+        quorum = self._owner.quorum
+        asked_at = quorum.now
         try:
-            return await self._send_poll(sent_at)
+            report = await self._send_poll(sent_at)
         except WorkerUnreachableError as error:
             self._worker.disconnected |= error.disconnected
             return None
+        quorum.note_answer(
+            self._worker.entry,
+            incarnation=report.incarnation,
+            asked_at=asked_at,
+        )
+        return report
 
     async def _apply_answer(
         self, report: PollReport | None, sent_at: float
@@ -113,7 +122,8 @@
         owner = self._owner
         worker = self._worker
         lease = worker.lease_until_ms(
-            now=sent_at, lease_s=owner.timings.worker_lease_s
+            now=sent_at - owner.quorum.overdue_s,
+            lease_s=owner.timings.worker_lease_s,
         )
         if self._unanswered >= _MAX_UNANSWERED_POLLS:
             lease = None
@@ -149,9 +159,7 @@
         if not self._unanswered:
             self._owner.fleet.note_unanswered(now)
         self._unanswered += 1
-        if worker.leases_expired(
-            now=now, lease_s=self._owner.timings.worker_lease_s
-        ):
+        if self._leases_expired(now):
             self._drop_all_runs('its lease has expired')
             worker.clock_ms = None
             if not worker.listed:
@@ -160,6 +168,17 @@
         again = self._unanswered > 1
         await trio.sleep(_RETRY_S if again else _FIRST_RETRY_S)
 
+    def _leases_expired(self, now: float) -> bool:
+        """Return whether all leases, also a former owner's, have ended."""
+        lease_s = self._owner.timings.worker_lease_s
+        worker = self._worker
+        former_at = -math.inf
+        if not worker.heard_at:
+            former_at = self._owner.quorum.extensions_end_at
+        return worker.leases_expired(
+            now=now, lease_s=lease_s, former_sent_at=former_at
+        )
+
     async def _apply_report(self, report: PollReport, sent_at: float) -> None:
         worker = self._worker
         now = trio.current_time()
--- a/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
@@ -11,6 +11,7 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.fleet import Worker
+from cyclamentrack.jobs.lease_quorum import EXTENSION_S
 from cyclamentrack.jobs.ports import (
     Changes,
     HistoryLostError,
@@ -30,10 +31,6 @@
 _FEED_RETRY_S = 0.15
 # Worker entries change often, and only state and address are needed.
 _FEED_GAP_S = 0.25
-# A worker that isn't listed when the slice is claimed may still run its tasks
-# for this long beyond a lease: the former owner may have extended the lease
-# until it learnt of the claim.
-_FORMER_OWNER_GRACE_S = 2.0
 _CLOCK_SLACK = 1.03
 # First polls at the same time: with new connections to all workers at once, all
 # first polls would time out.
@@ -84,13 +81,15 @@
 
         Waits until the lease of such a worker has certainly ended.
         """
+        quorum = self._owner.quorum
         lease_s = self._owner.timings.worker_lease_s * _CLOCK_SLACK
         recovery_leases_sent_at = self._owner.recovery_leases_sent_at.values()
+        with trio.move_on_at(quorum.extensions_end_at):
+            await quorum.excluded.wait()
         lease_sent_at = max(
-            (self._owner.claim.claimed_at, *recovery_leases_sent_at)
+            (quorum.extensions_end_at, *recovery_leases_sent_at)
         )
-        ended_at = lease_sent_at + lease_s + _FORMER_OWNER_GRACE_S
-        await trio.sleep_until(ended_at)
+        await trio.sleep_until(lease_sent_at + lease_s)
         await self._listed.wait()
         for placement in list(placements(self._owner.registry)):
             if placement.worker not in self._owner.fleet.workers:
@@ -137,7 +136,7 @@
     def _start_polling(self, worker: Worker, recorded: list[Placement]) -> None:
         """Charge a worker's recorded runs to it and start polling it."""
         worker.lease_sent_at = max(
-            self._owner.claim.claimed_at + _FORMER_OWNER_GRACE_S,
+            self._owner.claim.claimed_at + EXTENSION_S,
             self._owner.recovery_leases_sent_at.get(worker.entry.id, 0.0),
         )
         for placement in recorded:
