Give waiting feeds connections that other calls don't need

Cause: feeds, which wait up to four seconds, and short calls shared one limit of 24 connections to the store. Each service that a node owns adds two feeds.

Change: feeds have limits of their own, one for each table, which follow from MaxFds of the settings and are checked at load. The idle connections stay common, so that silence costs one lost call in all.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -160,6 +160,18 @@
     When settings with limits are read
     Then they give 1.5 cores and a link of 200 Mbit/s
 
+  Scenario: The connections of waiting feeds follow from the process's descriptors
+    When settings with 4100 descriptors are read
+    Then 60 feeds of a table may wait
+
+  Scenario: A process with few descriptors may wait for one feed of a table
+    When settings with 264 descriptors are read
+    Then 1 feeds of a table may wait
+
+  Scenario: Too few descriptors are refused at load
+    When settings with 263 descriptors are read
+    Then the error names "`$.Limits.MaxFds` is 263; allow 264 or more"
+
   Scenario Outline: Settings with <fault> are refused
     When settings with <fault> are read
     Then the error names "<key>"
--- a/features/platform/silent_days.feature
+++ b/features/platform/silent_days.feature
@@ -9,6 +9,7 @@
       | call                            |
       | the change of the configuration |
       | a write                         |
+      | a feed and then a write         |
 
   Scenario: Each peer whose connection has gone silent costs one lost call, and none delays another
     Given 3 peers whose first connections go silent after one reply
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -250,6 +250,16 @@
 }
 
 
+@when('settings with {count:d} descriptors are read')
+def read_descriptors(context, count):
+    _read_settings(context, {**_SETTINGS, 'Limits': {'MaxFds': count}})
+
+
+@then('{count:d} feeds of a table may wait')
+def check_feeds(context, count):
+    assert context.answer.unwrap().limits.feeds == count, context.answer
+
+
 @when('settings with {fault} are read')
 def read_settings(context, fault):
     body = json.loads(json.dumps(_SETTINGS))
@@ -260,9 +270,15 @@
             body['PortRange'] = ['a', 7395]
         case 'limits':
             body['Limits'] = {'CpuShare': 0.5, 'Cores': 3, 'LinkMbps': 200.0}
+        case 'no file':
+            body = None
+    _read_settings(context, body)
+
+
+def _read_settings(context, body):
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / 'local.json'
-        if fault != 'no file':
+        if body is not None:
             path.write_bytes(msgspec.json.encode(body))
         context.answer = load_boot(str(path))
 
--- a/features/steps/silent_day_steps.py
+++ b/features/steps/silent_day_steps.py
@@ -30,11 +30,17 @@
     context.connections = count
 
 
+async def _follow_and_write(rows):
+    await rows.follow(table='op', after=1, wait_s=_WAIT_S)
+    await rows.commit(Batch(puts=((_KEY, b'x'),)))
+
+
 _CALLS = {
     'the change of the configuration': lambda rows: rows.follow(
         table='op', after=1, wait_s=_WAIT_S
     ),
     'a write': lambda rows: rows.commit(Batch(puts=((_KEY, b'x'),))),
+    'a feed and then a write': _follow_and_write,
 }
 
 
