Give scans of the store connections apart from writes

Cause: a new owner reads up to 64 parts of jobs for each service. With many services at a takeover these reads lay ahead of renewals, claims and commits in one line for 24 connections.

Change: scans have 24 connections of their own. A process needs 328 descriptors or more, so that sockets are left for callers and workers.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -164,13 +164,13 @@
     When settings with 4100 descriptors are read
     Then 60 feeds of a table may wait
 
-  Scenario: A process with few descriptors may wait for one feed of a table
-    When settings with 264 descriptors are read
-    Then 1 feeds of a table may wait
+  Scenario: A process with few descriptors may wait for two feeds of a table
+    When settings with 328 descriptors are read
+    Then 2 feeds of a table may wait
 
   Scenario: Too few descriptors are refused at load
-    When settings with 263 descriptors are read
-    Then the error names "`$.Limits.MaxFds` is 263; allow 264 or more"
+    When settings with 327 descriptors are read
+    Then the error names "`$.Limits.MaxFds` is 327; allow 328 or more"
 
   Scenario Outline: Settings with <fault> are refused
     When settings with <fault> are read
--- a/features/platform/feed_turns.feature
+++ b/features/platform/feed_turns.feature
@@ -1,4 +1,4 @@
-Feature: Waiting feeds take no connection from the store's other calls
+Feature: Feeds and scans take no connection from the store's short calls
 
   Scenario: A write is answered while the feeds of many services wait
     Given a store that never answers feeds
@@ -11,6 +11,12 @@
     And a feed of "claims" is followed
     Then the feed of "claims" has reached the store
 
+  Scenario: A write is answered while the scans of many services wait for replies
+    Given a store that never answers scans
+    When 60 scans have begun
+    Then a write is answered
+    And no scan has ended before it
+
   Scenario: Feeds of more services than the limit all get their turn
     Given a store that never answers feeds
     When 60 feeds of "jobs" with a wait of 0.1 s have ended
--- a/features/steps/feed_turn_steps.py
+++ b/features/steps/feed_turn_steps.py
@@ -1,4 +1,4 @@
-"""Steps about the connections that waiting feeds of the store take."""
+"""Steps about the connections that feeds and scans of the store take."""
 
 from urllib.parse import parse_qs, urlsplit
 
@@ -12,17 +12,26 @@
 from features.harness.wire import WireServer
 
 _FEED = '/-/rows-feed'
+_PATHS = {'feeds': _FEED, 'scans': '/-/rows-get'}
 _LONG_WAIT_S = 30.0
 _KEY = RowKey('t', '', 'k')
 
 
-@given('a store that never answers feeds')
-def begin_store(context):
+@given('a store that never answers {kind}')
+def begin_store(context, kind):
     wire = WireServer()
     context.add_cleanup(wire.close)
-    wire.answers = {_FEED: 'silent', '/-/rows-tx': (200, {'Ver': 3})}
+    wire.answers = {_PATHS[kind]: 'silent', '/-/rows-tx': (200, {'Ver': 3})}
     context.wire = wire
     context.tables = []
+    context.scans = 0
+    context.ended = 0
+    context.ended_before_write = 0
+
+
+@when('{count:d} scans have begun')
+def begin_scans(context, count):
+    context.scans = count
 
 
 @when('{count:d} feeds of "{table}" wait')
@@ -40,10 +49,16 @@
     async def write(rows):
         batch = Batch(puts=((_KEY, b'x'),))
         assert await rows.commit(batch) == Committed(version=3)
+        context.ended_before_write = context.ended
 
     trio.run(_play, context, write)
 
 
+@then('no scan has ended before it')
+def check_scans(context):
+    assert context.ended_before_write == 0, context.ended_before_write
+
+
 @then('the feed of "{table}" has reached the store')
 def check_reached(context, table):
     async def check(rows):
@@ -60,6 +75,8 @@
     async with trio.open_nursery() as nursery:
         for table in context.tables:
             nursery.start_soon(_follow, rows, table, _LONG_WAIT_S)
+        for _ in range(context.scans):
+            nursery.start_soon(_scan, context, rows)
         await trio.testing.wait_all_tasks_blocked(cushion=0.2)
         await check(rows)
         nursery.cancel_scope.cancel()
@@ -94,6 +111,13 @@
         return
 
 
+async def _scan(context, rows):
+    try:
+        await rows.scan(table='t', part='')
+    except StoreUncertainError:
+        context.ended += 1
+
+
 def _queries(wire):
     targets = [urlsplit(target) for target, _, _ in wire.calls]
     return [parse_qs(one.query) for one in targets if one.path == _FEED]
