Handle signals from the first line of a process until it exits

Cause: a node's signal handlers were set after its listeners and its cell had started, and taken away at the first SIGTERM; those of the daemon didn't know SIGHUP. In between, the system's defaults ended the process: requests in flight were cut off, slices weren't handed over.

Change: early_signals.py sets the handlers before any library is imported; signals are read from the first step of the event loop to the end of the shutdown, and ignored from there until the exit. The command lines move to process.py and options.py, so that the entry points import nothing that takes long.

--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -7,7 +7,7 @@
 import time
 
 from bench.report import Report, percentile
-from cyclamentrack_platform.__main__ import set_up_collector
+from cyclamentrack_platform.process import set_up_collector
 from features.harness.fullpool import FullPool
 
 _WORKERS = (20, 126, 250)
--- a/features/steps/collector_steps.py
+++ b/features/steps/collector_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then
 
-from cyclamentrack_platform.__main__ import set_up_collector
+from cyclamentrack_platform.process import set_up_collector
 
 
 @given('a process that has set up its garbage collector')
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/daemon.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/daemon.py
@@ -2,7 +2,6 @@
 
 import logging
 import secrets
-import signal
 import time
 
 import trio
@@ -13,11 +12,13 @@
 from cyclamentrack.messages import PeerMessage
 from cyclamentrack.node import Node, Platform
 from cyclamentrack_daemon.callers import CallerRoutes
+from cyclamentrack_daemon.early_signals import EarlySignals
 from cyclamentrack_daemon.operators import OperatorRoutes
 from cyclamentrack_daemon.peering import PeerConnections, serve_peers
 from cyclamentrack_daemon.platforms import connect_platform
 from cyclamentrack_daemon.serving import serve_http
 from cyclamentrack_daemon.settings import Settings
+from cyclamentrack_daemon.signals import read_signals
 
 _log = logging.getLogger(__name__)
 
@@ -27,9 +28,10 @@
 class Daemon:
     """Serves callers, operators and peers through the current node."""
 
-    def __init__(self, *, settings: Settings) -> None:
+    def __init__(self, *, settings: Settings, signals: EarlySignals) -> None:
         """Prepare the daemon; listeners are opened by ``run``."""
         self._settings = settings
+        self._signals = signals
         self._services = connect_platform(settings)
         self._draining = trio.Event()
         self._stop_listening = trio.Event()
@@ -39,6 +41,8 @@
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         async with trio.open_nursery() as nursery:
+            ending = trio.Event()
+            await nursery.start(read_signals, self._signals, ending)
             peers = PeerConnections(nursery=nursery)
             self._node = self._new_node(peers)
             nursery.start_soon(self._run_nodes, peers)
@@ -49,7 +53,7 @@
             )
             nursery.start_soon(self._serve_callers)
             nursery.start_soon(self._serve_operators)
-            await self._wait_for_signal()
+            await ending.wait()
             await self._shut_down()
             nursery.cancel_scope.cancel()
 
@@ -115,17 +119,6 @@
             shutdown=self._callers_served.wait,
         )
 
-    async def _wait_for_signal(self) -> None:
-        with trio.open_signal_receiver(
-            signal.SIGTERM,
-            signal.SIGINT,
-        ) as signals:
-            async for number in signals:
-                _log.info(
-                    'received signal %s, draining', signal.Signals(number).name
-                )
-                return
-
     async def _shut_down(self) -> None:
         """Hand over partitions, finish requests in flight, then leave."""
         self._draining.set()
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/main.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/main.py
@@ -1,65 +1,15 @@
-"""Command line of the daemon."""
+"""Command line entry point of the daemon.
 
-import logging
-from pathlib import Path
-from typing import Annotated
+The libraries are imported once the handlers of signals are set.
+"""
 
-import trio
-import typer
-from returns.result import Failure, Success
+import importlib
 
-from cyclamentrack.errors import SettingsError
-from cyclamentrack_daemon.daemon import Daemon
-from cyclamentrack_daemon.logs import set_up_logging
-from cyclamentrack_daemon.settings import Settings, load_settings
-
-_log = logging.getLogger(__name__)
-
-_EXIT_SETTINGS = 2
-
-app = typer.Typer(add_completion=False)
-
-
-@app.command()
-def run(
-    config: Annotated[
-        Path,
-        typer.Option(help='Settings file (TOML).'),
-    ],
-    check: Annotated[
-        bool,
-        typer.Option(help='Check the settings and exit.'),
-    ] = False,
-) -> None:
-    """Run one daemon of a cyclamentrack cell.
-
-    On SIGTERM it hands over its partitions and answers the requests in
-    flight. Exit status 2 means that the settings are invalid.
-    """
-    match load_settings(config):
-        case Failure(error):
-            _exit_with_error(error)
-        case Success(settings):
-            if check:
-                typer.echo('settings are valid')
-                return
-            _serve(settings)
-
-
-def _serve(settings: Settings) -> None:
-    set_up_logging(settings.log, instance=settings.instance.name)
-    try:
-        daemon = Daemon(settings=settings)
-    except SettingsError as error:
-        _exit_with_error(error)
-    trio.run(daemon.run)
-
-
-def _exit_with_error(error: SettingsError) -> None:
-    typer.echo(f'cyclamentrackd: {error}', err=True)
-    raise typer.Exit(_EXIT_SETTINGS)
+from cyclamentrack_daemon.early_signals import EarlySignals
 
 
 def main() -> None:
     """Run the command line."""
-    app()
+    signals = EarlySignals()
+    signals.set_up()
+    importlib.import_module('cyclamentrack_daemon.options').app(obj=signals)
