Let a row that the store refuses for good cost its own job only

A row larger than RowBytes is refused for good, so no later write of the service was stored: no start, no end, no new job.

Change: the adapter marks a 4xx other than 429 as a refusal for good.

The owner closes the row's job as failed, with an error line and the metric jobs_unrecorded; the final state takes the place of the refused row, so starts and acknowledgements that wait for the row wait for that instead. The job isn't kept in memory only: the next owner would run its tasks again.

Evidence: the stand-in's store has a row limit.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -33,6 +33,7 @@
 
 POOL = PoolName('booking')
 _LEASE_S = 6.0
+_ROW_BYTES = 16384
 _TABLES = CellTables(
     configuration='op', configuration_key='config', workers='servers'
 )
@@ -73,6 +74,7 @@
         self.loop = PausedLoop(seed=seed)
         self.links = Links()
         self.rows = MemoryRows(links=self.links)
+        self.rows.row_bytes = _ROW_BYTES
         self.workers = MemoryWorkers(links=self.links)
         self.permit_service = MemoryPermitService(decide_s=0.02, valid_s=2.0)
         self.services = {}
--- a/features/jobs/journal.feature
+++ b/features/jobs/journal.feature
@@ -19,3 +19,13 @@
     When a job with a queued record is closed while 150 other rows are queued
     Then the store has its records or its final state after each commit
     And the wait for its record ended only after its final state was stored
+
+  Scenario: A row that the store refuses for good holds up no other row
+    Given a journal whose store takes 1 second for a commit
+    When 20 rows are put, one of them too large
+    Then all other rows are stored
+
+  Scenario: No row is dropped while the store refuses every commit
+    Given a journal whose store takes 1 second for a commit
+    When the store refuses all writes for good during 5 seconds
+    Then the wait for "b" ends only after "b" is stored
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -80,6 +80,18 @@
       | 503    | nothing | StoreRefusedError   |
       | 500    | unknown | StoreUncertainError |
 
+  Scenario Outline: A store that answers <status> refuses a write <how>
+    Given a platform that answers "/-/rows-tx" with <status> and reason ""
+    When a row is written
+    Then the store refused it <how>
+
+    Examples:
+      | status | how      |
+      | 400    | for good |
+      | 413    | for good |
+      | 429    | for now  |
+      | 503    | for now  |
+
   Scenario: A write whose connection is closed is uncertain
     Given a platform that closes the connection on "/-/rows-tx"
     When a row is written
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -221,6 +221,11 @@
     assert type(context.answer).__name__ == error, context.answer
 
 
+@then('the store refused it {how}')
+def check_refusal(context, how):
+    assert context.answer.for_good == (how == 'for good'), context.answer
+
+
 @then('the write conflicts with version 7')
 def check_conflict(context):
     assert isinstance(context.answer, Conflict), context.answer
--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -10,7 +10,12 @@
     OwnershipLostError,
     head_key,
 )
-from cyclamentrack.jobs.ports import Batch, Committed, RowKey
+from cyclamentrack.jobs.ports import (
+    Batch,
+    Committed,
+    RowKey,
+    StoreRefusedError,
+)
 from cyclamentrack_standins.jobrows import MemoryRows
 from features.harness.loop import PausedLoop
 
@@ -18,9 +23,13 @@
 class _SlowClient:
     def __init__(self, rows):
         self._rows = rows
+        self.refuses_all = False
 
     async def commit(self, batch):
         await trio.sleep(1)
+        if self.refuses_all:
+            raise StoreRefusedError(status=403, for_good=True)
+        self._rows.check_size(batch)
         return self._rows.apply(batch)
 
 
@@ -37,8 +46,9 @@
         self.loop.close()
 
     async def _begin(self):
+        self.client = _SlowClient(self.rows)
         self.journal = Journal(
-            store=_SlowClient(self.rows), part='p', owner='me', version=0
+            store=self.client, part='p', owner='me', version=0
         )
         self.loop.nursery.start_soon(self._run)
 
@@ -167,3 +177,35 @@
 @then('the wait for its record ended only after its final state was stored')
 def check_waited(context):
     assert context.waited_until is True
+
+
+@when('{count:d} rows are put, one of them too large')
+def put_one_too_large(context, count):
+    world = context.jobs
+    context.names = {f'r{number}' for number in range(count)}
+    world.rows.row_bytes = 100
+
+    async def put():
+        for name in sorted(context.names):
+            world.journal.put(RowKey('journal', 'p', name), b'x')
+        world.journal.put(RowKey('journal', 'p', 'r7'), bytes(101))
+
+    world.loop.run(put)
+
+
+@when('the store refuses all writes for good during 5 seconds')
+def refuse_all(context):
+    world = context.jobs
+    world.client.refuses_all = True
+    world.loop.run(world.put, 'b')
+    world.loop.run(world.wait_until_flushed)
+    world.loop.sleep(5)
+    world.client.refuses_all = False
+
+
+@then('all other rows are stored')
+def check_others(context):
+    world = context.jobs
+    world.loop.sleep(40)
+    stored = {key.key for key in world.rows.rows} - {'head'}
+    assert stored == context.names - {'r7'}, stored
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -25,6 +25,8 @@
 _LOST_REPLY_S = 1.0
 _LATE_WRITE_S = 3.0
 _MAX_QUEUE_S = 1.0
+_ROW_BYTES = 65536
+_INVALID = 400
 
 
 class MemoryRows:
@@ -36,7 +38,8 @@
     ``delayed_writes`` count the writes to come whose reply is lost, or which
     are applied only after seconds. With ``transaction_s`` the transactions of a
     part take so long, one after another; while more than one second of them
-    wait, others are refused.
+    wait, others are refused. A transaction with a value over ``row_bytes`` is
+    refused for good.
     """
 
     def __init__(self, *, links: Links | None = None) -> None:
@@ -54,7 +57,9 @@
         self.feed_delay_s = 0.0
         self.reply_delay_s = 0.0
         self.transaction_s = 0.0
+        self.row_bytes = _ROW_BYTES
         self.commits = 0
+        self.refusals = 0
         self.history_from = 0
         self.on_commit: Callable[[Batch], None] | None = None
         self._part_free_at: dict[str, float] = {}
@@ -115,6 +120,12 @@
         changes = self.changes(table, after)
         return bool(changes.rows or changes.removed)
 
+    def check_size(self, batch: Batch) -> None:
+        """Refuse a batch with a value that is too large for a row."""
+        if any(len(body) > self.row_bytes for _, body in batch.puts):
+            self.refusals += 1
+            raise StoreRefusedError(status=_INVALID, for_good=True)
+
     async def take_turn(self, part: str) -> None:
         """Wait for a transaction's turn in its part, and carry it out."""
         if not self.transaction_s:
@@ -156,6 +167,7 @@
         """Apply a batch; a fault may delay it or lose its reply."""
         await self._begin_call(_part_of(batch))
         rows = self._rows
+        rows.check_size(batch)
         await rows.take_turn(_part_of(batch))
         rows.commits += 1
         if rows.on_commit is not None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/journal.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import trio
@@ -38,6 +38,8 @@
 _RETRY_MIN_S = 0.05
 _RETRY_MAX_S = 0.4
 
+_Write = tuple[RowKey, int, bytes | None]
+
 HEAD = 'head'
 TABLE = 'journal'
 
@@ -66,13 +68,18 @@
 
 
 class Journal:
-    """Writes of one owner, committed in order, one commit at a time."""
+    """Writes of one owner, committed in order, one commit at a time.
+
+    ``on_refused`` is called with the key of a row that the store refuses for
+    good. Unless it supersedes that row, the write is dropped.
+    """
 
     def __init__(
         self, *, store: RowStore, part: str, owner: str, version: int
     ) -> None:
         """Continue from the head row's version that the claim wrote."""
         self.commit_began_at: float | None = None
+        self.on_refused: Callable[[RowKey], None] = _ignore
         self._store = store
         self._part = part
         self._owner = owner
@@ -118,9 +125,7 @@
         self.put(key, body)
         if queued:
             self._pending[key] = (min(queued), body)
-            self._pending = dict(
-                sorted(self._pending.items(), key=_queue_number)
-            )
+            self._sort_pending()
         for one in keys:
             self.put(one, None)
 
@@ -144,6 +149,47 @@
     async def _commit_next(self) -> None:
         writes = self._take_batch()
         self.commit_began_at = trio.current_time()
+        await self._commit_writes(writes)
+        self.commit_began_at = None
+        self._wake_waiters()
+
+    async def _commit_writes(self, writes: Sequence[_Write]) -> None:
+        """Commit writes in order; those refused for good cost no others."""
+        try:
+            await self._commit_batch(writes)
+        except StoreRefusedError:
+            if len(writes) == 1:
+                await self._commit_or_drop(writes[0])
+                return
+            middle = len(writes) // 2
+            await self._commit_writes(writes[:middle])
+            await self._commit_writes(writes[middle:])
+
+    async def _commit_or_drop(self, write: _Write) -> None:
+        """Commit a write, or drop it if the store refuses it and no others."""
+        await self._commit_batch(())
+        try:
+            await self._commit_batch((write,))
+        except StoreRefusedError as error:
+            self._drop(write, error)
+
+    def _drop(self, write: _Write, error: StoreRefusedError) -> None:
+        """Drop a write; what supersedes its row takes its place."""
+        key, number, _ = write
+        _log.error(
+            'row refused for good slice=%s key=%s: %s',
+            self._part,
+            key.key,
+            error,
+        )
+        _, newer = self._pending.get(key, (0, None))
+        marker = (number, newer)
+        self._pending[key] = marker
+        self.on_refused(key)
+        if self._pending.get(key) is marker:
+            del self._pending[key]
+
+    async def _commit_batch(self, writes: Sequence[_Write]) -> None:
         self._number += 1
         head = Head(owner=self._owner, number=self._number)
         key = head_key(self._part)
@@ -151,28 +197,29 @@
             expected=(Expect(key, self._version),),
             puts=(
                 (key, encode(head)),
-                *((row, body) for row, body in writes if body is not None),
+                *((row, body) for row, _, body in writes if body is not None),
             ),
-            removes=tuple(row for row, body in writes if body is None),
+            removes=tuple(row for row, _, body in writes if body is None),
         )
         self._version = await self._commit(batch, head)
-        self.commit_began_at = None
-        self._wake_waiters()
 
-    def _take_batch(self) -> list[tuple[RowKey, bytes | None]]:
-        taken: list[tuple[RowKey, bytes | None]] = []
+    def _take_batch(self) -> list[_Write]:
+        taken: list[_Write] = []
         size = 0
-        for key, (_, body) in list(self._pending.items()):
+        for key, (number, body) in list(self._pending.items()):
             size += len(body or b'')
             if taken and size > _BATCH_BYTES:
                 break
-            taken.append((key, body))
+            taken.append((key, number, body))
             if len(taken) >= _BATCH_ENTRIES:
                 break
-        for key, _ in taken:
+        for key, _, _ in taken:
             self._pending.pop(key)
         return taken
 
+    def _sort_pending(self) -> None:
+        self._pending = dict(sorted(self._pending.items(), key=_queue_number))
+
     def _wake_waiters(self) -> None:
         first_pending = min(
             (number for number, _ in self._pending.values()),
@@ -187,11 +234,17 @@
         self._waiting = remaining
 
     async def _commit(self, batch: Batch, head: Head) -> int:
+        """Commit a batch; an error means that its writes are refused for good.
+
+        A head row alone is never refused for good.
+        """
         delay = _RETRY_MIN_S
         while True:
             try:
                 answer = await self._store.commit(batch)
             except (StoreUncertainError, StoreRefusedError) as error:
+                if _is_final(error, batch):
+                    raise
                 _log.warning(
                     'journal commit failed, retrying slice=%s number=%d: %s',
                     self._part,
@@ -218,5 +271,19 @@
         return row.version
 
 
+def _ignore(key: RowKey) -> None:
+    del key
+
+
+def _is_final(
+    error: StoreUncertainError | StoreRefusedError, batch: Batch
+) -> bool:
+    """Return whether a batch's writes, besides the head, are refused."""
+    writes = len(batch.puts) + len(batch.removes) - 1
+    return (
+        isinstance(error, StoreRefusedError) and error.for_good and writes > 0
+    )
+
+
 def _queue_number(item: tuple[RowKey, tuple[int, bytes | None]]) -> int:
     return item[1][0]
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -37,6 +37,7 @@
     CellTables,
     EndReport,
     EntryDecoder,
+    RowKey,
     RowStore,
     Timings,
     WorkerOrders,
@@ -44,6 +45,7 @@
 from cyclamentrack.jobs.records import (
     Claim,
     closed_key,
+    recorded_job,
     step_key,
 )
 from cyclamentrack.jobs.recovery_leases import RecoveryLeases
@@ -108,6 +110,7 @@
         self.fleet = Fleet()
         self.estimate_accuracy = EstimateAccuracy()
         self.journal = journal
+        journal.on_refused = self._give_up_unrecorded
         self.loop_load = LoopLoad(
             pool=claim.pool, clock=dependencies.steady_clock
         )
@@ -294,6 +297,23 @@
             self.stop_run(placement)
         self.nursery.start_soon(self._publish, entry, closed)
 
+    def _give_up_unrecorded(self, key: RowKey) -> None:
+        """Fail the job of a row that the store refuses for good.
+
+        Without its record the next owner would run its tasks again.
+        """
+        job = recorded_job(key)
+        entry = self.registry.jobs.get(job) if job else None
+        if entry is None or entry.state is not None:
+            return
+        _log.error(
+            'job given up job=%s row=%s why=the store refuses its record',
+            entry.job.id,
+            key.key,
+        )
+        self.metrics.count('jobs_unrecorded')
+        self.close(entry, JobState.FAILED)
+
     def _forget_permits(self, step: StepRun) -> None:
         if self._permits is not None:
             self._permits.forget(step.name)
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -95,10 +95,14 @@
 
 
 class StoreRefusedError(CyclamentrackError):
-    """The store refused a call; nothing was done."""
+    """The store refused a call; nothing was done.
 
-    def __init__(self, *, status: int) -> None:
+    If it did so ``for_good``, it would refuse the same call again.
+    """
+
+    def __init__(self, *, status: int, for_good: bool = False) -> None:
         """Create the error from the HTTP status of the reply."""
+        self.for_good = for_good
         super().__init__(
             message=f'the store refused a call with status {status}',
             remedy='try again later or through a peer',
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -129,6 +129,12 @@
     return RowKey(STEPS, pool, str(step))
 
 
+def recorded_job(key: RowKey) -> JobId | None:
+    """Return the job that a row of the journal records, or ``None``."""
+    job, _, step = key.key.partition('.')
+    return JobId(job) if job and step else None
+
+
 def lease_key(pool: PoolName) -> RowKey:
     """Return the key of a slice's lease."""
     return RowKey(CLAIMS, pool, 'lease')
