Keep a step in bounded rows, written by what changed

Cause: the record of a step was one row with all of its tasks. With 1,500 checkpointing tasks it outgrows RowBytes, and each end cost the encoding of the whole step.

Change: a step is kept in rows of 64 neighbouring tasks; only rows with a changed task are encoded and written. A row over RowBytes (from the settings, read by nothing before) is split in halves, and the part that takes tasks over is stored before the row that gives them up. A checkpoint that no row can hold is left out. On reading, of a task in two rows the state stored last counts, so a row of an earlier version that holds all tasks is read as before and rewritten last. A gang's members take run, failures, checkpoint and end from each other on reading, since their rows may be those of different commits.

The scenarios on long checkpoints, on a record of an earlier version and on a gang fail when the split, the bound on checkpoints, the order of the rewrite or the alignment is taken out (each tried).

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -271,6 +271,7 @@
                 peers=_Peers(self, name),
                 wall_clock=trio.current_time,
                 steady_clock=self._steady_clock,
+                row_bytes=_ROW_BYTES,
             ),
         )
         self.cells[name] = cell
--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -2,8 +2,11 @@
 
 from behave import given, then, when
 
+from cyclamentrack.codec import decode, encode
+from cyclamentrack.jobs.ports import Batch, RowKey
+from cyclamentrack.jobs.registry import TaskRow
 from cyclamentrack.jobs.service import RequestOutcome
-from features.harness.jobworld import make_step
+from features.harness.jobworld import POOL, make_step
 
 _CORES = 0.03
 
@@ -75,3 +78,100 @@
     world = context.jobs
     metrics = world.cells[world.owner()].dependencies.metrics
     assert f'{name}_total 1\n' in metrics.exposition(), metrics.exposition()
+
+
+@when(
+    'a job of {count:d} tasks with checkpoints of {size:d} bytes is submitted'
+)
+def submit_checkpoints(context, count, size):
+    step = make_step(count, cores=_CORES, checkpointing=True)
+    _submit(context, step, work_s=8.0, checkpoint_bytes=size)
+
+
+@when('a gang of {count:d} small tasks that fails once is submitted')
+def submit_gang(context, count):
+    step = make_step(count, cores=_CORES, gang=True, checkpointing=True)
+    _submit(context, step, work_s=8.0, fails=1)
+
+
+def _step_rows(context):
+    """Return the bodies of the rows of the first step, by their keys."""
+    prefix = f'{context.job}.0.0'
+    return {
+        key: row.body
+        for key, row in context.jobs.rows.rows.items()
+        if key.key == prefix or key.key.startswith(f'{prefix}.')
+    }
+
+
+def _recorded_tasks(context):
+    return {
+        task.index
+        for body in _step_rows(context).values()
+        for task in decode(body, list[TaskRow])
+    }
+
+
+def _stop_all(world):
+    for name in list(world.cells):
+        world.kill_node(name)
+
+
+@when("all nodes stop and an earlier version's record replaces the job's rows")
+def merge_rows(context):
+    world = context.jobs
+    _stop_all(world)
+    rows = _step_rows(context)
+    tasks = [
+        task for body in rows.values() for task in decode(body, list[TaskRow])
+    ]
+    former = RowKey('journal', POOL, f'{context.job}.0.0')
+    context.tasks = {task.index for task in tasks}
+    context.gaps = []
+
+    async def replace():
+        removed = tuple(key for key in rows if key != former)
+        puts = ((former, encode(tasks)),)
+        world.rows.apply(Batch(puts=puts, removes=removed))
+
+    world.loop.run(replace)
+    world.rows.on_commit = lambda batch: _note_gaps(context, batch)
+
+
+def _note_gaps(context, batch):
+    del batch
+    if RowKey('journal', POOL, context.job) not in context.jobs.rows.rows:
+        context.gaps.extend(context.tasks - _recorded_tasks(context))
+
+
+@when('all nodes stop and the first of its rows is as it was in the first run')
+def mix_rows(context):
+    world = context.jobs
+    first = RowKey('journal', POOL, f'{context.job}.0.0')
+    while first not in _step_rows(context):
+        world.loop.sleep(0.05)
+    body = _step_rows(context)[first]
+    while max(start[2] for start in world.workers.starts) < 2:
+        world.loop.sleep(0.05)
+    _stop_all(world)
+
+    async def put():
+        world.rows.put(first, body)
+
+    world.loop.run(put)
+
+
+@when('another node starts')
+def start_another(context):
+    context.jobs.start_node('later')
+
+
+@then('no commit left a task without a record')
+def check_gaps(context):
+    assert not context.gaps, context.gaps
+
+
+@then('all members were started last in the same run')
+def check_members(context):
+    last = {task: run for _, task, run, _ in context.jobs.workers.starts}
+    assert len(set(last.values())) == 1, last
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -51,7 +51,7 @@
     """How the tasks of a step behave: work time and number of failures.
 
     The task with index ``crasher`` crashes each worker soon after its start,
-    whose answer may be lost.
+    whose answer may be lost. Checkpoints have at least ``checkpoint_bytes``.
     """
 
     step: Step
@@ -59,6 +59,7 @@
     fails: int = 0
     crasher: int | None = None
     crasher_answered: bool = True
+    checkpoint_bytes: int = 0
 
 
 _DEFAULT_BEHAVIOUR = Behaviour(
@@ -235,10 +236,12 @@
 
         It is different for each member of a gang.
         """
-        if not self._workers.behaviour(task).step.checkpointing:
-            return ''
+        behaviour = self._workers.behaviour(task)
         saved = int((now - run.started_at) / _CHECKPOINT_S)
-        return f'{task.index}-{run.order.run}-{saved}' if saved else ''
+        if not behaviour.step.checkpointing or not saved:
+            return ''
+        checkpoint = f'{task.index}-{run.order.run}-{saved}'
+        return checkpoint.ljust(behaviour.checkpoint_bytes, '-')
 
     def _percent(self, task: TaskName, run: MemoryRun, now: float) -> float:
         work_s = self._work_s(task)
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -33,6 +33,7 @@
 from cyclamentrack.jobs.owner import OwnerDependencies, SliceOwner
 from cyclamentrack.jobs.permits import PermitRoute
 from cyclamentrack.jobs.ports import (
+    DEFAULT_ROW_BYTES,
     Batch,
     CellTables,
     EntryDecoder,
@@ -105,6 +106,7 @@
     timeouts: LagAwareTimeouts = msgspec.field(default_factory=LagAwareTimeouts)
     metrics: Metrics = msgspec.field(default_factory=Metrics)
     steady_clock: Callable[[], float] = time.perf_counter
+    row_bytes: int = DEFAULT_ROW_BYTES
 
 
 def _ignore(found: object) -> None:
@@ -548,6 +550,7 @@
                 metrics=dependencies.metrics,
                 wall_clock=dependencies.wall_clock,
                 steady_clock=dependencies.steady_clock,
+                row_bytes=dependencies.row_bytes,
             ),
         )
         renewer = LeaseRenewer(
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -72,10 +72,11 @@
                 closed = decode(row.body, Closed)
                 self._owner.registry.closed[JobId(row.key.key)] = closed
         version = await self._read_jobs()
-        for row in records.rows:
+        for row in sorted(records.rows, key=_version):
             if '.' in row.key.key:
                 self._restore_step(row)
         for entry in list(self._owner.registry.jobs.values()):
+            self._owner.settle(entry)
             self._continue_job(entry)
         _log.info(
             'slice recovered pool=%s token=%d open=%d closed=%d runs=%d',
@@ -301,3 +302,7 @@
             _log.info('expired job not removed job=%s: %s', job, error)
             return False
         return True
+
+
+def _version(row: StoredRow) -> int:
+    return row.version
--- a/packages/cyclamentrack/cyclamentrack/jobs/journal.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/journal.py
@@ -6,7 +6,7 @@
 """
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 import trio
@@ -109,6 +109,22 @@
         self._pending[key] = (number, body)
         self._wake.set()
 
+    def put_together(self, rows: Mapping[RowKey, bytes]) -> None:
+        """Queue rows that are stored one after another, in this order.
+
+        They take the place of the first of them that is queued already.
+        """
+        queued = [
+            self._pending.pop(key)[0] for key in rows if key in self._pending
+        ]
+        self._last_number += 1
+        number = min(queued, default=self._last_number)
+        for key, body in rows.items():
+            self._pending[key] = (number, body)
+        if queued:
+            self._sort_pending()
+        self._wake.set()
+
     def supersede(
         self, keys: Sequence[RowKey], *, key: RowKey, body: bytes
     ) -> None:
@@ -182,12 +198,16 @@
             key.key,
             error,
         )
-        _, newer = self._pending.get(key, (0, None))
-        marker = (number, newer)
+        newer = self._pending.get(key)
+        marker = (number, None)
         self._pending[key] = marker
         self.on_refused(key)
-        if self._pending.get(key) is marker:
-            del self._pending[key]
+        if self._pending.get(key) is not marker:
+            return
+        del self._pending[key]
+        if newer is not None:
+            self._pending[key] = newer
+            self._sort_pending()
 
     async def _commit_batch(self, writes: Sequence[_Write]) -> None:
         self._number += 1
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 import trio
@@ -26,6 +26,7 @@
     End,
     JobState,
     Queue,
+    StepName,
 )
 from cyclamentrack.jobs.permits import (
     SHORT_CALL_S,
@@ -34,6 +35,7 @@
     PermitRoute,
 )
 from cyclamentrack.jobs.ports import (
+    DEFAULT_ROW_BYTES,
     CellTables,
     EndReport,
     EntryDecoder,
@@ -96,6 +98,7 @@
     metrics: Metrics
     wall_clock: Callable[[], float]
     steady_clock: Callable[[], float]
+    row_bytes: int = DEFAULT_ROW_BYTES
 
 
 class SliceOwner:
@@ -106,7 +109,7 @@
     ) -> None:
         """Create the owner; it does nothing until ``run``."""
         self.claim = claim
-        self.registry = JobRegistry()
+        self.registry = JobRegistry(row_bytes=dependencies.row_bytes)
         self.fleet = Fleet()
         self.estimate_accuracy = EstimateAccuracy()
         self.journal = journal
@@ -196,12 +199,20 @@
             return 0.0
         return self.estimate_accuracy.typical_s(entry.job.queue, step)
 
-    def record_step(self, step: StepRun) -> None:
-        """Queue a journal write of the step's record."""
+    def record_tasks(self, step: StepRun, tasks: Iterable[TaskRun]) -> None:
+        """Queue journal writes of the rows that hold these tasks of a step."""
         entry = self.registry.jobs.get(step.name.job)
-        if entry is not None and entry.state is None:
-            key = step_key(self.claim.pool, step.name)
-            self.journal.put(key, step.record())
+        if entry is None or entry.state is not None:
+            return
+        for row in sorted({step.row_of(task.name.index) for task in tasks}):
+            self._put_rows(step, [row])
+
+    def settle(self, entry: JobRun) -> None:
+        """Settle a restored job, and rewrite rows of an earlier layout."""
+        for name, rows in self.registry.settle(entry).items():
+            if rows:
+                step = entry.steps[name.occurrence, name.step]
+                self._put_rows(step, sorted(rows, reverse=True))
 
     def open_due(self, entry: JobRun) -> None:
         """Open the steps of a job that are due and whose inputs are done."""
@@ -225,7 +236,7 @@
             self._task_done(step, task, worker, current)
         elif current is not None:
             self._run_failed(step, task, worker, report)
-        self.record_step(step)
+        self.record_tasks(step, [task])
         self._after_end(step)
 
     def handle_lost_run(self, placement: Placement, *, why: str) -> None:
@@ -247,7 +258,7 @@
         self.registry.jobs[step.name.job].has_started()
         task.placement = None
         task.idle_since = trio.current_time()
-        self.record_step(step)
+        self.record_tasks(step, [task])
         self._after_end(step)
 
     def handle_crash(
@@ -258,7 +269,7 @@
         for run in runs:
             step = self.registry.step_of(run.task.name)
             if step is not None:
-                self.record_step(step)
+                self.record_tasks(step, [run.task])
             entry = self.registry.jobs.get(run.task.name.job)
             if entry is None or entry.state is not None:
                 continue
@@ -287,7 +298,11 @@
         )
         pool = self.claim.pool
         self.journal.supersede(
-            [step_key(pool, step.name) for step in entry.steps.values()],
+            [
+                step_key(pool, step.name, row)
+                for step in entry.steps.values()
+                for row in sorted(step.stored_rows)
+            ],
             key=closed_key(pool, entry.job.id),
             body=encode(closed),
         )
@@ -314,6 +329,19 @@
         self.metrics.count('jobs_unrecorded')
         self.close(entry, JobState.FAILED)
 
+    def _put_rows(self, step: StepRun, rows: list[int]) -> None:
+        bodies: dict[int, bytes] = {}
+        for row in rows:
+            bodies |= step.record(row, max_bytes=self._dependencies.row_bytes)
+        pool = self.claim.pool
+        keyed = {
+            step_key(pool, step.name, row): body for row, body in bodies.items()
+        }
+        if len(keyed) == 1:
+            self.journal.put(*keyed.popitem())
+        else:
+            self.journal.put_together(keyed)
+
     def _forget_permits(self, step: StepRun) -> None:
         if self._permits is not None:
             self._permits.forget(step.name)
@@ -476,10 +504,11 @@
             keep_own_short=self._has_short_permits(),
         )
         placed = [self._place(assigned) for assigned in outcome.assignments]
-        for step in {
-            id(assigned.step): assigned.step for assigned in outcome.assignments
-        }.values():
-            self.record_step(step)
+        steps: dict[StepName, list[Assignment]] = {}
+        for assigned in outcome.assignments:
+            steps.setdefault(assigned.step.name, []).append(assigned)
+        for group in steps.values():
+            self.record_tasks(group[0].step, [one.task for one in group])
         if placed:
             self._starting.extend(placed)
             self.nursery.start_soon(launcher.launch, placed)
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -21,6 +21,9 @@
     WorkerEntry,
 )
 
+# The largest row of stores that don't say how much theirs hold.
+DEFAULT_ROW_BYTES = 65_536
+
 
 class RowKey(msgspec.Struct, frozen=True, array_like=True):
     """A row's address: table, part of the table, key within the part."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -124,9 +124,12 @@
     return None
 
 
-def step_key(pool: PoolName, step: StepName) -> RowKey:
-    """Return the key of a step's record."""
-    return RowKey(STEPS, pool, str(step))
+def step_key(pool: PoolName, step: StepName, first: int = 0) -> RowKey:
+    """Return the key of the row of a step's tasks from the first one on.
+
+    Earlier versions had all tasks of a step in the row of task 0.
+    """
+    return RowKey(STEPS, pool, f'{step}.{first}' if first else str(step))
 
 
 def recorded_job(key: RowKey) -> JobId | None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -4,6 +4,7 @@
 state of their tasks, and encodes the records that the next owner reads.
 """
 
+import bisect
 import enum
 import statistics
 from collections.abc import Iterator
@@ -28,8 +29,14 @@
     StepName,
     TaskName,
 )
+from cyclamentrack.jobs.ports import DEFAULT_ROW_BYTES
 
 _PERCENT = 100
+# Each change of a task costs the encoding of its row. A step of 10,000 tasks
+# has 157 rows, which is less than two commits of the journal.
+_TASKS_PER_ROW = 64
+# A row of one task has this much besides the checkpoint, at most.
+_ROW_MARGIN_BYTES = 2000
 
 
 class Closed(msgspec.Struct, frozen=True, kw_only=True):
@@ -120,7 +127,13 @@
 
 
 class StepRun(msgspec.Struct, kw_only=True, eq=False):
-    """One opened step of one occurrence, with its tasks."""
+    """One opened step of one occurrence, with its tasks.
+
+    A row of the store holds neighbouring tasks and is named by the first of
+    them. ``splits`` are rows besides those of a fixed number of tasks,
+    ``stored_rows`` the rows that may be in the store, and ``restored_from``
+    has for each task read from the store its row, in the order of reading.
+    """
 
     name: StepName
     step: Step
@@ -128,6 +141,9 @@
     opened_at: float
     durations_s: list[float] = msgspec.field(default_factory=list)
     failed_run: int = 0
+    splits: list[int] = msgspec.field(default_factory=list)
+    stored_rows: set[int] = msgspec.field(default_factory=set)
+    restored_from: dict[int, int] = msgspec.field(default_factory=dict)
 
     @property
     def done(self) -> bool:
@@ -161,11 +177,71 @@
             for task in self.tasks:
                 task.failures += 1
 
-    def record(self) -> bytes:
-        """Return the encoded state of the step's tasks for the store."""
-        return encode(
-            [_task_row(task) for task in self.tasks if task.run or task.done]
+    def row_of(self, task: int) -> int:
+        """Return the row that holds a task."""
+        found = task - task % _TASKS_PER_ROW
+        place = bisect.bisect_right(self.splits, task)
+        return max(found, self.splits[place - 1]) if place else found
+
+    def record(self, row: int, *, max_bytes: int) -> dict[int, bytes]:
+        """Return the encoded tasks of a row, split into rows that are stored.
+
+        The row that gives tasks up is the last one.
+        """
+        end = self._end_of_row(row)
+        body = encode(
+            [
+                _task_row(task)
+                for task in self.tasks[row:end]
+                if task.run or task.done
+            ]
         )
+        if len(body) <= max_bytes or end - row == 1:
+            self.stored_rows.add(row)
+            return {row: body}
+        middle = (row + end) // 2
+        bisect.insort(self.splits, middle)
+        return {
+            **self.record(middle, max_bytes=max_bytes),
+            **self.record(row, max_bytes=max_bytes),
+        }
+
+    def settle(self) -> set[int]:
+        """Settle a restored step; return the rows that have to be rewritten.
+
+        These are the rows that hold tasks of other rows, as those of earlier
+        versions do, and the rows that these tasks belong to.
+        """
+        if self.step.gang and self.restored_from:
+            self._align_members()
+        moved = {
+            row
+            for task, source in self.restored_from.items()
+            if (own := self.row_of(task)) != source
+            for row in (own, source)
+        }
+        self.restored_from = {}
+        return moved
+
+    def _align_members(self) -> None:
+        """Give a gang's members what they have in common.
+
+        Their rows may be those of different commits, and the last one counts.
+        """
+        newest = self.tasks[next(reversed(self.restored_from))]
+        run = max(task.run for task in self.tasks)
+        failures = max(task.failures for task in self.tasks)
+        done = any(task.done for task in self.tasks)
+        for task in self.tasks:
+            task.run = run
+            task.failures = failures
+            task.done = done
+            task.checkpoint = newest.checkpoint
+
+    def _end_of_row(self, row: int) -> int:
+        end = min(row - row % _TASKS_PER_ROW + _TASKS_PER_ROW, len(self.tasks))
+        place = bisect.bisect_right(self.splits, row)
+        return min(end, *self.splits[place : place + 1], len(self.tasks))
 
 
 class JobRun(msgspec.Struct, kw_only=True, eq=False):
@@ -220,8 +296,12 @@
 class JobRegistry:
     """All jobs of one slice and their open steps."""
 
-    def __init__(self) -> None:
-        """Start empty, with the pool's capacity unknown."""
+    def __init__(self, *, row_bytes: int = DEFAULT_ROW_BYTES) -> None:
+        """Start empty, with the pool's capacity unknown.
+
+        A row of the store holds at most ``row_bytes``.
+        """
+        self._max_checkpoint_bytes = row_bytes - _ROW_MARGIN_BYTES
         self.jobs: dict[JobId, JobRun] = {}
         self._pool_capacity: PoolCapacity = _unknown_capacity
         self.closed: dict[JobId, Closed] = {}
@@ -282,9 +362,16 @@
         return step.tasks[name.index]
 
     def record_checkpoint(self, name: TaskName, checkpoint: str) -> None:
-        """Record a task's checkpoint; a gang member's is the whole gang's."""
+        """Record a task's checkpoint; a gang member's is the whole gang's.
+
+        One that no row can hold is left out, so that the task would go on from
+        the one before.
+        """
         step = self.step_of(name)
-        if step is None:
+        if (
+            step is None
+            or len(checkpoint.encode()) > self._max_checkpoint_bytes
+        ):
             return
         saved = step.tasks if step.step.gang else [step.tasks[name.index]]
         for task in saved:
@@ -334,16 +421,31 @@
         return counts
 
     def restore(self, entry: JobRun, key: str, body: bytes, now: float) -> None:
-        """Restore one step from its stored record."""
-        occurrence, step = (int(part) for part in key.split('.')[1:])
-        entry.opened = max(entry.opened, occurrence + 1)
-        run = self._open_step(entry, (occurrence, step), now)
+        """Restore tasks of a step from a row; rows stored later come later.
+
+        Of a task that two rows hold, the state stored last counts.
+        """
+        place, first = _parse_row(key)
+        entry.opened = max(entry.opened, place[0] + 1)
+        run = entry.steps.get(place) or self._open_step(entry, place, now)
+        run.stored_rows.add(first)
+        if first % _TASKS_PER_ROW:
+            bisect.insort(run.splits, first)
         for row in decode(body, list[TaskRow]):
             _restore_task(run.tasks[row.index], row, now)
+            run.restored_from.pop(row.index, None)
+            run.restored_from[row.index] = first
             entry.placed_once = entry.placed_once or row.run > 0
             entry.started = entry.started or _ever_started(row)
-        if run.done:
-            self.open_steps.pop(run.name, None)
+
+    def settle(self, entry: JobRun) -> dict[StepName, set[int]]:
+        """Settle a restored job; return the rows to rewrite by step."""
+        moved: dict[StepName, set[int]] = {}
+        for run in entry.steps.values():
+            moved[run.name] = run.settle()
+            if run.done:
+                self.open_steps.pop(run.name, None)
+        return moved
 
     def _open_occurrences(
         self, entry: JobRun, *, now: float, wall_s: float
@@ -412,6 +514,12 @@
     )
 
 
+def _parse_row(key: str) -> tuple[tuple[int, int], int]:
+    """Return the occurrence and step of a row's key, and its first task."""
+    occurrence, step, *first = (int(part) for part in key.split('.')[1:])
+    return (occurrence, step), first[0] if first else 0
+
+
 def _ever_started(row: TaskRow) -> bool:
     """Return whether a run of a task is known to have started."""
     return row.done or row.failures > 0 or bool(row.checkpoint)
@@ -424,6 +532,7 @@
     task.suspicion = row.suspicion
     task.crashes = row.crashes
     task.checkpoint = row.checkpoint
+    task.placement = None
     if row.worker:
         task.placement = Placement(
             task=task.name,
