Refuse a job that no row of the store can hold, and name the limit

Cause: intake accepts 200 steps, whose texts and `After` lists are as long as the body allows. A job's row over RowBytes was refused by the store and the caller told "try again", for ever.

Change: a job whose row would be larger than RowBytes of the settings is answered 413 with the limit, before anything is written.

--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -38,6 +38,12 @@
     Then the caller gets status 413
     And no further job is stored
 
+  Scenario: A job that no row of the store can hold is refused with the limit
+    When a caller submits a job of 200 steps with images of 100 bytes
+    Then the caller gets status 413
+    And the answer names "RowBytes" and "16384"
+    And no further job is stored
+
   Scenario: The same id twice is one job
     When a caller sends POST "/lookups/00000000000000ab" with body {"Steps":[{"Count":2,"Cpu":100,"MemMb":10,"EstimateMs":500}]}
     And a caller sends POST "/lookups/00000000000000ab" with body {"Steps":[{"Count":2,"Cpu":100,"MemMb":10,"EstimateMs":500}]}
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -1,6 +1,8 @@
 """Steps about callers' requests and the responses to them."""
 
-from behave import given, step, then
+import json
+
+from behave import given, step, then, when
 
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import HttpFrontend
@@ -79,3 +81,17 @@
 @then('the caller gets {count:d} as the number of waiting jobs')
 def check_count(context, count):
     assert context.reply.json() == {'Waiting': count}
+
+
+@when('a caller submits a job of {steps:d} steps with images of {size:d} bytes')
+def submit_many_steps(context, steps, size):
+    step = {'Count': 1, 'Cpu': 100, 'Image': 'i' * size}
+    body = json.dumps({'Steps': [step] * steps})
+    _send(context, 'POST', '/lookups/00000000000000aa', body.encode())
+
+
+@then('the answer names "{name}" and "{limit}"')
+def check_limit(context, name, limit):
+    text = context.reply.body.decode()
+    assert name in text, text
+    assert limit in text, text
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -48,7 +48,7 @@
     ``STORED`` means that the request was stored; ``REFUSED`` that it was not
     and won't be; ``UNKNOWN`` that it may have been; ``NOT_FOUND`` that there is
     no such job; ``IMPOSSIBLE`` that no worker of the pool is large enough for
-    one of its tasks.
+    one of its tasks; ``TOO_LARGE`` that no row of the store can hold the job.
     """
 
     STORED = 'kept'
@@ -56,6 +56,7 @@
     UNKNOWN = 'unknown'
     NOT_FOUND = 'gone'
     IMPOSSIBLE = 'impossible'
+    TOO_LARGE = 'too large'
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -91,10 +91,13 @@
         The stored one may have been accepted for another pool, when the
         configuration sent its queue there.
         """
+        batch = job_batch(job)
+        if len(batch.puts[0][1]) > self._cell.dependencies.row_bytes:
+            return await self._refuse(job, RequestOutcome.TOO_LARGE)
         if not self._could_run(job):
-            return await self._refuse_impossible(job)
+            return await self._refuse(job, RequestOutcome.IMPOSSIBLE)
         result = await self._writer.write_with_retry(
-            job_batch(job),
+            batch,
             ForwardSubmit(job=job),
             caller_timeout_s=caller_timeout_s,
         )
@@ -349,8 +352,10 @@
                 return row
         return None
 
-    async def _refuse_impossible(self, job: Job) -> RequestOutcome:
-        """Refuse a job that no worker can run, unless it is a repetition.
+    async def _refuse(
+        self, job: Job, outcome: RequestOutcome
+    ) -> RequestOutcome:
+        """Refuse a job that can't be run or kept, unless it is a repetition.
 
         The same request may have been accepted for another pool.
         """
@@ -359,7 +364,7 @@
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.warning('job not looked up job=%s: %s', job.id, error)
             return RequestOutcome.UNKNOWN
-        return RequestOutcome.STORED if row else RequestOutcome.IMPOSSIBLE
+        return RequestOutcome.STORED if row else outcome
 
 
 def _read_job(body: bytes) -> Job | None:
