--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -35,6 +35,7 @@
 from cyclamentrack.jobs.owner import OwnerDependencies, SliceOwner
 from cyclamentrack.jobs.permits import PermitRoute
 from cyclamentrack.jobs.ports import (
+    DEFAULT_ROW_BYTES,
     Batch,
     CellTables,
     EntryDecoder,
@@ -107,6 +108,7 @@
     metrics: Metrics = msgspec.field(default_factory=Metrics)
     steady_clock: Callable[[], float] = time.perf_counter
     suspended_s: Callable[[], float] = suspended_s
+    row_bytes: int = DEFAULT_ROW_BYTES
 
 
 def _ignore(found: object) -> None:
@@ -552,6 +554,7 @@
                 wall_clock=dependencies.wall_clock,
                 steady_clock=dependencies.steady_clock,
                 suspended_s=dependencies.suspended_s,
+                row_bytes=dependencies.row_bytes,
             ),
         )
         renewer = LeaseRenewer(
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -21,6 +21,9 @@
     WorkerEntry,
 )
 
+# The largest row of stores that don't say how much theirs hold.
+DEFAULT_ROW_BYTES = 65_536
+
 
 class RowKey(msgspec.Struct, frozen=True, array_like=True):
     """A row's address: table, part of the table, key within the part."""
@@ -95,10 +98,14 @@
 
 
 class StoreRefusedError(CyclamentrackError):
-    """The store refused a call; nothing was done."""
+    """The store refused a call; nothing was done.
+
+    If it did so ``for_good``, it would refuse the same call again.
+    """
 
-    def __init__(self, *, status: int) -> None:
+    def __init__(self, *, status: int, for_good: bool = False) -> None:
         """Create the error from the HTTP status of the reply."""
+        self.for_good = for_good
         super().__init__(
             message=f'the store refused a call with status {status}',
             remedy='try again later or through a peer',
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -126,9 +126,18 @@
     return None
 
 
-def step_key(pool: PoolName, step: StepName) -> RowKey:
-    """Return the key of a step's record."""
-    return RowKey(STEPS, pool, str(step))
+def step_key(pool: PoolName, step: StepName, first: int = 0) -> RowKey:
+    """Return the key of the row of a step's tasks from the first one on.
+
+    Earlier versions had all tasks of a step in the row of task 0.
+    """
+    return RowKey(STEPS, pool, f'{step}.{first}' if first else str(step))
+
+
+def recorded_job(key: RowKey) -> JobId | None:
+    """Return the job that a row of the journal records, or ``None``."""
+    job, _, step = key.key.partition('.')
+    return JobId(job) if job and step else None
 
 
 def lease_key(pool: PoolName) -> RowKey:
