Keep a job's terms with the job

Cause: intake looked the queue up in the configuration of the moment, made up one with a single attempt and no advice where there was none, and kept it for as long as the owner did. By the same cause an owner didn't see that a queue had got advice while its jobs waited, and _run_failed and the rounds' last attempt used different versions of MaxAttempts.

Change: the job's row holds its queue as configured at acceptance, an optional field. SliceOwner.queue gives the present terms while the queue is configured, else those of the row, and a new version of the configuration is applied to all open jobs.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -66,7 +66,9 @@
 class JobWorld:
     """Nodes that share a store, workers and a permit service.
 
-    Each reading of the steady clock advances it by ``clock_reading_s``.
+    Each reading of the steady clock advances it by ``clock_reading_s``. Tasks
+    behave by ``task_defaults`` where a submitted job doesn't say otherwise.
+    Without ``stores_terms`` jobs are stored as earlier versions did.
     """
 
     def __init__(self, *, seed=1):
@@ -82,6 +84,8 @@
         self.queues = {}
         self.version = 0
         self.clock_reading_s = 0.0
+        self.task_defaults = {}
+        self.stores_terms = True
         self._clock_advance_s = 0.0
         self._jobs = 0
         self.loop.run(self._begin)
@@ -191,7 +195,7 @@
         self._jobs += 1
         for number, step in enumerate(steps):
             self.workers.behaviours[job, number] = Behaviour(
-                step=step, **behaviour
+                step=step, **self.task_defaults | behaviour
             )
         entry = Job(
             id=job,
@@ -200,6 +204,7 @@
             payload='x',
             steps=tuple(steps),
             accepted_at_s=self.loop.run(self.now),
+            terms=self.queues.get(queue) if self.stores_terms else None,
         )
         service = self.services[node or next(iter(self.services))]
 
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -50,13 +50,18 @@
 class Behaviour(msgspec.Struct, kw_only=True):
     """How the tasks of a step behave: work time and number of failures.
 
+    A run that fails does so ``fails_after_s`` after its start.
     The task with index ``crasher`` crashes each worker soon after its start,
-    whose answer may be lost.
+    whose answer may be lost. Workers refuse starts without a permit if the
+    step ``needs_permit``, and those in ``refused_by`` refuse all.
     """
 
     step: Step
     work_s: float = 1.0
     fails: int = 0
+    fails_after_s: float = 0.0
+    needs_permit: bool = False
+    refused_by: frozenset[WorkerId] = frozenset()
     crasher: int | None = None
     crasher_answered: bool = True
 
@@ -162,6 +167,8 @@
             return StartAnswer.STALE_RUN
         if order.lease_until_ms < now * _MS_PER_S:
             return StartAnswer.LATE
+        if self._workers.refuses(self, order):
+            return StartAnswer.NO_PERMIT
         self._extend(order.lease_until_ms)
         self._workers.record_start(self, order)
         self.runs[key] = MemoryRun(order=order, started_at=now)
@@ -255,13 +262,14 @@
             return End.LEASE_EXPIRED
         if run.stop_at is not None and now >= run.stop_at:
             return End.STOPPED
-        if self.fails_all or key[1] <= behaviour.fails:
+        worked_s = now - run.started_at
+        if self.fails_all or (
+            key[1] <= behaviour.fails and worked_s >= behaviour.fails_after_s
+        ):
             return End.FAILED
         if behaviour.step.gang and self._workers.has_failed_member(key):
             return End.BROKEN
-        if behaviour.step.lasting or now - run.started_at < self._work_s(
-            key[0]
-        ):
+        if behaviour.step.lasting or worked_s < self._work_s(key[0]):
             return None
         return End.DONE
 
@@ -301,6 +309,7 @@
         self.behaviours: dict[tuple[str, int], Behaviour] = {}
         self.acknowledged_tasks: set[TaskName] = set()
         self.starts: list[tuple[float, TaskName, int, WorkerId]] = []
+        self.refused_starts: list[tuple[float, TaskName, WorkerId]] = []
         self.polls: list[PollRecord] = []
         self.violations: list[str] = []
         self.completed_tasks: set[TaskName] = set()
@@ -343,6 +352,17 @@
         if not worker.has_room(used) and used != NO_RESOURCES:
             self.violations.append(f'{worker.entry.id} exceeds its capacity')
 
+    def refuses(self, worker: MemoryWorker, order: StartOrder) -> bool:
+        """Return whether a worker refuses a start for want of a permit."""
+        behaviour = self.behaviour(order.task)
+        name = worker.entry.id
+        refused = name in behaviour.refused_by or (
+            behaviour.needs_permit and not order.permit
+        )
+        if refused:
+            self.refused_starts.append((trio.current_time(), order.task, name))
+        return refused
+
     def has_failed_member(self, key: tuple[TaskName, int]) -> bool:
         """Return whether another member of a gang's run ended incomplete."""
         name, run = key
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -12,7 +12,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import HEAD
-from cyclamentrack.jobs.model import Job, JobId, JobState, Queue
+from cyclamentrack.jobs.model import Job, JobId, JobState
 from cyclamentrack.jobs.ports import (
     Batch,
     HistoryLostError,
@@ -245,14 +245,11 @@
             self._former_keys[job] = key
 
     def _admit(self, job: Job) -> None:
-        configuration = self._dependencies.configuration()
-        configured = configuration and configuration.queue(job.queue)
-        queue = configured or Queue(
-            name=job.queue, host='', path_prefix='', pool=job.pool
-        )
         age = self._dependencies.wall_clock() - job.accepted_at_s
         arrived = trio.current_time() - min(max(age, 0.0), _MAX_JOB_AGE_S)
-        entry = self._owner.registry.admit(job=job, queue=queue, now=arrived)
+        entry = self._owner.registry.admit(
+            job=job, queue=self._owner.queue(job), now=arrived
+        )
         if entry is None:
             return
         if not self._owner.recovered.is_set():
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -57,8 +57,8 @@
     valid_s: float
 
 
-class Queue(msgspec.Struct, frozen=True, kw_only=True):
-    """One queue of the configuration in force.
+class Queue(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One queue, as one version of the configuration defines it.
 
     A job should end within ``target_s`` plus ``stretch`` times the length of
     its critical path. Priority 0 comes first.
@@ -131,6 +131,8 @@
 
     A ``repeat`` above zero gives that many occurrences; each is due at the
     Unix time ``start_at_s`` plus its number, from 0, times ``interval_s``.
+    ``terms`` is the queue as it was configured at acceptance; rows of earlier
+    versions lack it.
     """
 
     id: JobId
@@ -142,6 +144,7 @@
     repeat: int = 0
     start_at_s: float = 0.0
     interval_s: float = 0.0
+    terms: Queue | None = None
 
     @property
     def timed(self) -> bool:
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -24,6 +24,7 @@
 from cyclamentrack.jobs.model import (
     Configuration,
     End,
+    Job,
     JobState,
     Queue,
 )
@@ -123,6 +124,7 @@
         self._store = dependencies.store
         self._wake = trio.Event()
         self._paused = False
+        self._applied_configuration: Configuration | None = None
         self._starting: list[Placement] = []
         self._nursery: trio.Nursery | None = None
         self._permits: PermitCache | None = None
@@ -180,11 +182,15 @@
         """Stop deciding rounds, before the slice is handed over."""
         self._paused = True
 
-    def queue(self, entry: JobRun) -> Queue:
-        """Return a job's queue as the current configuration defines it."""
+    def queue(self, job: Job) -> Queue:
+        """Return the queue whose terms hold for a job.
+
+        These are the present terms while the queue is configured, and
+        otherwise those under which the job was accepted.
+        """
         configuration = self._dependencies.configuration()
-        found = configuration and configuration.queue(entry.job.queue)
-        return found or entry.queue
+        configured = configuration and configuration.queue(job.queue)
+        return configured or job.terms or _queue_without_terms(job)
 
     def typical_s(self, step: StepRun) -> float:
         """Return the expected duration of one task of a step, 0 if unknown."""
@@ -366,7 +372,7 @@
         else:
             task.failures += 1
         entry = self.registry.jobs[step.name.job]
-        limit = self.queue(entry).max_attempts
+        limit = self.queue(entry.job).max_attempts
         if task.failures >= limit and not step.step.lasting:
             self.close(entry, JobState.FAILED)
 
@@ -426,6 +432,7 @@
                 await self._wake.wait()
             await trio.sleep(self.loop_load.pause_s)
             self._wake = trio.Event()
+            self._apply_configuration()
             if self._paused or self.journal.commit_lag_s > _MAX_COMMIT_LAG_S:
                 continue
             with self.loop_load.measured_round():
@@ -435,6 +442,18 @@
                 )
                 self._apply_round(outcome, permits, launcher)
 
+    def _apply_configuration(self) -> None:
+        """Give all jobs the terms of a new version of the configuration."""
+        configuration = self._dependencies.configuration()
+        if configuration is self._applied_configuration:
+            return
+        self._applied_configuration = configuration
+        for entry in self.registry.jobs.values():
+            queue = self.queue(entry.job)
+            if queue != entry.queue:
+                entry.queue = queue
+                self.registry.update_critical_path(entry)
+
     def _apply_round(
         self, outcome: Round, permits: PermitCache, launcher: Launcher
     ) -> None:
@@ -530,3 +549,8 @@
             report.end.value,
             int((trio.current_time() - began) * 1000),
         )
+
+
+def _queue_without_terms(job: Job) -> Queue:
+    """Return a queue for a job that an earlier version has stored."""
+    return Queue(name=job.queue, host='', path_prefix='', pool=job.pool)
