Check a start's worker again before each order

Unanswered starts were repeated likewise.

Change: Worker.start_obstacle is asked before each start order. A task whose start was never sent is idle at once; one whose start went unanswered gets a stop; the other members of its gang are stopped.

--- /dev/null
+++ b/features/steps/start_check_steps.py
@@ -0,0 +1,60 @@
+"""Steps about starts whose worker changes before they are sent."""
+
+import msgspec
+from behave import given, then, when
+
+from cyclamentrack.jobs.model import WorkerState
+from cyclamentrack.jobs.ports import RowKey
+from cyclamentrack.jobs.records import STEPS
+from cyclamentrack.resources import Resources
+from features.harness.jobworld import make_step
+
+_CHANGES = {
+    'drains': {'state': WorkerState.DRAINING},
+    'shrinks': {'capacity': Resources(milli_cores=1000, memory_mib=64000)},
+}
+_IDLE = 9
+
+
+@given('the journal takes {seconds:g} seconds, in which the worker {change}')
+def change_worker(context, seconds, change):
+    world = context.jobs
+    entry = next(iter(world.workers.workers.values())).entry
+    changed = msgspec.structs.replace(entry, **_CHANGES[change])
+
+    def begin(batch):
+        if any(key.table == STEPS and '.' in key.key for key, _ in batch.puts):
+            world.rows.on_commit = None
+            world.rows.reply_delay_s = seconds
+            key = RowKey('servers', '', entry.id)
+            world.rows.put(key, msgspec.json.encode(changed))
+
+    world.rows.on_commit = begin
+
+
+@when('a job of one task of {cores:d} cores is submitted')
+def submit_one(context, cores):
+    context.job = context.jobs.submit(make_step(1, cores=cores))[0]
+
+
+@then('nothing was started')
+def check_none(context):
+    assert not context.jobs.workers.starts, context.jobs.workers.starts
+
+
+@then('the worker that drains got no start')
+def check_draining(context):
+    workers = {worker for _, _, _, worker in context.jobs.workers.starts}
+    assert 'w0' not in workers, workers
+
+
+@when('an idle worker is added')
+def add_idle(context):
+    context.jobs.rows.reply_delay_s = 0.0
+    context.jobs.add_worker(_IDLE)
+
+
+@then('the task was started on the idle worker alone')
+def check_starts(context):
+    workers = {worker for _, _, _, worker in context.jobs.workers.starts}
+    assert workers == {f'w{_IDLE}'}, workers
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -105,6 +105,18 @@
         ready = self.entry.state is WorkerState.READY
         return all((known, connected, current, heard, ready))
 
+    @property
+    def start_obstacle(self) -> str:
+        """Why a run that is charged already mustn't start; empty if it may.
+
+        The worker may have changed since the run was assigned to it.
+        """
+        if self.entry.state is not WorkerState.READY:
+            return 'its worker is draining'
+        if not self.used.fits(self.entry.capacity):
+            return 'its worker has shrunk'
+        return ''
+
     def answers(self, *, now: float) -> bool:
         """Return whether the worker has answered a call recently."""
         return bool(self.heard_at) and now - self.heard_at < _ANSWERING_S
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -58,6 +58,9 @@
         answer_s = _FIRST_TIMEOUT_S
         while _is_current(owner, placement) and not placement.stopping:
             worker = owner.fleet.workers[placement.worker]
+            if worker.start_obstacle:
+                self._withdraw(placement, why=worker.start_obstacle)
+                return
             answer = await self._send_start(worker, placement, answer_s)
             if answer is StartAnswer.NOT_SENT and not attempts:
                 self._apply_not_sent(worker, placement)
@@ -79,6 +82,15 @@
         if placement.stopping and not attempts:
             owner.handle_lost_run(placement, why='stopped before its start')
 
+    def _withdraw(self, placement: Placement, *, why: str) -> None:
+        """Place a task again instead of ordering its start on this worker."""
+        self._owner.metrics.count('starts_withdrawn')
+        if placement.sent:
+            self._owner.stop_run(placement)
+        else:
+            self._owner.handle_lost_run(placement, why=why)
+        self._stop_gang(placement)
+
     def _apply_not_sent(self, worker: Worker, placement: Placement) -> None:
         """Make the task idle at once; no worker can have its run."""
         worker.disconnected = True
