Model the leases of partitioned owners and their voters

Cause: an owner that was partitioned with some workers extended their leases without bound while its successor gave up their runs (docs/incidents/partitioned-owner.md).

Change: spec/leases.py models three owners in succession, three workers of which one restarts, lost calls, the exclusion of a predecessor by half of the recorded voters and one change of the voters, with time in steps of a lease. check_all checks it, and one variant per guard. A variant's search ends at its first counterexample.

Not modelled: voters that an owner loads after the next claim, overdue leases that are given with an earlier end, runs on workers that were reached and lost.

--- a/spec/checks.py
+++ b/spec/checks.py
@@ -8,7 +8,7 @@
 import msgspec
 from minicheck import Protocol, check_safety
 
-from spec import jobcell
+from spec import jobcell, leases
 from spec.model import Guard, Rules, State, violations
 
 _MAX_STATES = 2_000_000
@@ -47,7 +47,7 @@
 
 
 def check_all() -> list[SpecVerdict]:
-    """Check both models with all guards, and one variant per guard."""
+    """Check all models with all guards, and one variant per guard."""
     verdicts = [
         _check_with_all_guards(Rules(idempotent=idempotent))
         for idempotent in (False, True)
@@ -55,6 +55,8 @@
     verdicts.extend(_check_variant(guard) for guard in Guard)
     verdicts.append(_check_job_cell(without=None))
     verdicts.extend(_check_job_cell(without=guard) for guard in jobcell.Guard)
+    verdicts.append(_check_leases(without=None))
+    verdicts.extend(_check_leases(without=guard) for guard in leases.Guard)
     return verdicts
 
 
@@ -148,6 +150,54 @@
     )
 
 
+def _check_leases(*, without: leases.Guard | None) -> SpecVerdict:
+    """Check the model of leases, or refute its variant without a guard.
+
+    The search ends at the first counterexample.
+    """
+    rules = leases.Rules(
+        without=frozenset(() if without is None else (without,))
+    )
+    refuted: list[leases.State] = []
+
+    def transitions(state: leases.State) -> list[tuple[str, leases.State]]:
+        return [] if refuted else rules.transitions(state)
+
+    def keeps_promise(found: dict[str, object]) -> bool:
+        state = leases.State(**found)
+        if rules.breaks_promise(state):
+            refuted.append(state)
+        return not refuted
+
+    protocol = Protocol(
+        name='leases of a slice',
+        candidate=False,
+        fields=leases.State._fields,
+        initial=leases.State(),
+        transitions=transitions,
+        invariants={leases.PROMISE: keeps_promise},
+    )
+    outcome = check_safety(protocol, max_states=_MAX_STATES)
+    found = outcome['properties'][leases.PROMISE]
+    states = outcome['reachable_states']
+    if without is None:
+        holds = found['holds'] is True
+        detail = 'holds' if holds else 'not shown'
+        return SpecVerdict(
+            name='leases',
+            passed=holds,
+            summary=f'spec leases: {detail}, {states} states explored',
+        )
+    trace = found['counterexample']
+    detail = f'refuted in {len(trace) - 1} moves' if trace else 'NOT REFUTED'
+    return SpecVerdict(
+        name=f'leases without: {without.value}',
+        passed=bool(trace),
+        summary=f'spec leases without "{without.value}": {detail}, '
+        f'{states} states explored',
+    )
+
+
 def depth(rules: Rules) -> int:
     """Return the length of the longest shortest path to a state."""
     level = {State()}
