Extend no lease on the clock of a worker's former incarnation

Cause: a request can't name a worker's incarnation.

Change: a poll carries a lease only over a connection that has carried an answer of the incarnation, as acknowledgements already did. The first poll over a new connection extends none; the next does.

Measured: 'A lease is extended over the connection that led to the incarnation' and 'No lease is extended over a connection that may lead to another incarnation' pass; before the change a poll over any connection carried the lease. features/platform/adapter.feature passes.

--- a/features/harness/canned.py
+++ b/features/harness/canned.py
@@ -28,12 +28,12 @@
     )
 
 
-def make_poll_order(*, incarnation=0, acknowledged=0):
+def make_poll_order(*, incarnation=0, acknowledged=0, lease_until_ms=None):
     return PollOrder(
         token=Token(7),
         incarnation=incarnation,
         acknowledged=acknowledged,
-        lease_until_ms=None,
+        lease_until_ms=lease_until_ms,
         wait_s=0,
         answer_s=0.8,
     )
--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -59,6 +59,16 @@
     When the worker closes its connection between two polls
     Then the ends up to "0, 0" were acknowledged by the polls
 
+  Scenario: No lease is extended over a connection that may lead to another incarnation
+    Given a platform whose worker lists a run, an end and malformed rows
+    When the worker closes its connection between two polls
+    Then no poll extended the lease
+
+  Scenario: A lease is extended over the connection that led to the incarnation
+    Given a platform whose worker lists a run, an end and malformed rows
+    When the worker is polled twice, with end 1 of incarnation 9 read
+    Then only the second poll extended the lease
+
   Scenario: An unanswered acknowledgement is repeated once the same incarnation has answered
     Given a platform whose worker lists a run, an end and malformed rows
     When the worker is polled four times and loses the first acknowledgement
--- a/features/steps/acknowledgement_steps.py
+++ b/features/steps/acknowledgement_steps.py
@@ -10,6 +10,7 @@
 from features.harness.canned import get_server, make_poll_order, make_worker
 
 _INCARNATION = 9
+_LEASE = 6005
 
 
 @given('a platform whose worker lists {count:d} ends')
@@ -49,7 +50,9 @@
         await workers.poll(worker=worker, order=make_poll_order())
         for number in range(1, polls):
             await context.wire.wait_until_closed(number)
-            order = make_poll_order(incarnation=incarnation, acknowledged=1)
+            order = make_poll_order(
+                incarnation=incarnation, acknowledged=1, lease_until_ms=_LEASE
+            )
             with contextlib.suppress(WorkerUnreachableError):
                 await workers.poll(worker=worker, order=order)
 
@@ -60,3 +63,17 @@
 def check_acknowledged(context, numbers):
     sent = [body['AckCursor'] for _, body, _ in context.wire.calls]
     assert ', '.join(map(str, sent)) == numbers, sent
+
+
+def _extended(context):
+    return ['DeadlineMs' in body for _, body, _ in context.wire.calls]
+
+
+@then('no poll extended the lease')
+def check_no_lease(context):
+    assert _extended(context) == [False, False], context.wire.calls
+
+
+@then('only the second poll extended the lease')
+def check_second_lease(context):
+    assert _extended(context) == [False, True], context.wire.calls
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -215,8 +215,9 @@
 class PollOrder(msgspec.Struct, frozen=True, kw_only=True):
     """Poll of a worker: extend the lease, acknowledge ends, wait for more.
 
-    The ends up to ``acknowledged`` are those of one ``incarnation``. Another
-    one may answer the poll, but none of its ends are acknowledged. The worker
+    The ends up to ``acknowledged`` and the clock of ``lease_until_ms`` are
+    those of one ``incarnation``. Another one may answer the poll, but none of
+    its ends are acknowledged, and its lease stays as it is. The worker
     waits up to ``wait_s`` for a run to end; its answer may take another
     ``answer_s``. Without ``lease_until_ms`` the lease stays as it is.
     """
