--- a/features/decisions/lease_quorum.feature
+++ b/features/decisions/lease_quorum.feature
@@ -47,6 +47,16 @@
     When w5,w6 answer the owner
     Then the owner may extend leases
 
+  Scenario: Former voters must vouch although the store refuses the new ones
+    When 3 seconds go by for the owner
+    And w0,w1,w2 answer the owner
+    And 2.1 seconds go by for the owner
+    And the owner begins to record w5,w6,w7 as voters
+    And the store refuses the owner's record of voters
+    And 3 seconds go by for the owner
+    And w5,w6,w7 answer the owner
+    Then the owner's permission has ended 1 seconds ago
+
   Scenario: An owner that has reached too few voters leaves them as they are
     When 3 seconds go by for the owner
     Then the owner can't record w5,w6,w7 as voters
--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -86,6 +86,7 @@
         self.queues = {}
         self.version = 0
         self.clock_reading_s = 0.0
+        self.suspended_s = 0.0
         self.task_defaults = {}
         self.stores_terms = True
         self._clock_advance_s = 0.0
@@ -276,6 +277,7 @@
                 peers=_Peers(self, name),
                 wall_clock=trio.current_time,
                 steady_clock=self._steady_clock,
+                suspended_s=lambda: self.suspended_s,
                 row_bytes=_ROW_BYTES,
             ),
         )
--- a/features/jobs/partitions.feature
+++ b/features/jobs/partitions.feature
@@ -19,11 +19,11 @@
     And the workers' record is clean
 
   Scenario: A successor of a successor starts no task of a partitioned owner's workers
-    Given a running job of 30 tasks of 30 seconds
-    When the owner and 4 workers are partitioned from all others for 24 seconds
+    Given a running job of 30 tasks of 60 seconds
+    When the owner and 4 workers are partitioned from all others for 32 seconds
     And the store forgets the entries of these workers after 4 seconds
     And the successor is killed after 12 seconds
-    And 60 seconds go by
+    And 120 seconds go by
     Then the job is shown as "completed" by every node
     And the workers' record is clean
 
@@ -70,3 +70,25 @@
     When the owner and 2 workers are partitioned from all others for 10 seconds
     And 8 seconds go by
     Then a line says that the claim is unconfirmed while w0,w1 answer
+
+  Scenario: A new owner that is partitioned while it recovers lets leases end
+    Given a running job of 30 tasks of 60 seconds
+    When the store doesn't answer for the rows of jobs
+    And the owner is killed
+    And 6 seconds go by
+    And the owner and 2 workers are partitioned from all others for 30 seconds
+    And the store answers for all rows
+    And 150 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
+  Scenario: An owner that was suspended starts a task with the lease that it may still give
+    Given a running job of 2 tasks of 30 seconds
+    When the owner's machine was suspended for 5 seconds and a task is started at once
+    Then the task's worker has a lease for less than 4 seconds
+
+  Scenario: A new owner gives up a slice whose voters it has read from a later one
+    When another node claims the slice just after the next owner
+    And the owner is killed
+    And 4 seconds go by
+    Then a node has given the slice up
--- a/features/steps/lease_quorum_steps.py
+++ b/features/steps/lease_quorum_steps.py
@@ -117,6 +117,12 @@
     assert _change(context, names)
 
 
+@when("the store refuses the owner's record of voters")
+def refuse_change(context):
+    context.owner.quorum.note_refused()
+    context.owner.quorum.end_change()
+
+
 @then("the owner can't record {names} as voters")
 def check_no_change(context, names):
     assert not _change(context, names)
--- a/features/steps/partition_steps.py
+++ b/features/steps/partition_steps.py
@@ -5,9 +5,12 @@
 import trio
 from behave import given, then, when
 
+from cyclamentrack.codec import encode
 from cyclamentrack.jobs import claim_health
+from cyclamentrack.jobs.journal import Head, head_key
+from cyclamentrack.jobs.records import lease_key
 from cyclamentrack.jobs.service import RequestOutcome
-from features.harness.jobworld import make_step
+from features.harness.jobworld import POOL, make_step
 
 
 def _world(context):
@@ -82,7 +85,7 @@
 def restart_on_island(context):
     """The third of six workers beside the owner makes four of them."""
     world = _world(context)
-    world.loop.sleep(8)
+    world.loop.sleep(5)
     restarted = max(world.workers.workers)
     assert restarted not in context.island
     worker = world.workers.workers[restarted]
@@ -126,3 +129,56 @@
     found = [line for line in lines if line.startswith('claim unconfirmed')]
     assert found, lines
     assert found[0].endswith(f'workers=6 answering={workers}'), found
+
+
+@when(
+    "the owner's machine was suspended for {seconds:g} seconds "
+    'and a task is started at once'
+)
+def start_after_suspension(context, seconds):
+    world = _world(context)
+    world.suspended_s += seconds
+    job, _ = world.submit(make_step(1))
+    while not any(start[1].job == job for start in world.workers.starts):
+        world.loop.sleep(0.01)
+    context.job = job
+
+
+@then("the task's worker has a lease for less than {seconds:g} seconds")
+def check_start_lease(context, seconds):
+    world = _world(context)
+    orders = [
+        run.order
+        for worker in world.workers.workers.values()
+        for (task, _), run in worker.runs.items()
+        if task.job == context.job
+    ]
+    now = world.loop.run(world.now)
+    left_s = [order.lease_until_ms / 1000 - now for order in orders]
+    assert left_s, world.workers.starts
+    assert max(left_s) < seconds, left_s
+
+
+@when('another node claims the slice just after the next owner')
+def replace_head(context):
+    rows = _world(context).rows
+
+    async def replace():
+        await trio.sleep(0.001)
+        rows.put(head_key(POOL), encode(Head(owner='other/1', number=0)))
+
+    def find_claim(batch):
+        if lease_key(POOL) in dict(batch.puts) and len(batch.puts) > 1:
+            rows.on_commit = None
+            trio.lowlevel.spawn_system_task(replace)
+
+    rows.on_commit = find_claim
+
+
+@then('a node has given the slice up')
+def check_given_up(context):
+    counters = [
+        cell.dependencies.metrics.counters
+        for cell in _world(context).cells.values()
+    ]
+    assert any(one.get('slices_given_up') for one in counters), counters
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -165,14 +165,17 @@
         self.heard_at = now
         self.disconnected = False
 
-    def lease_until_ms(self, *, now: float, lease_s: float) -> int | None:
+    def lease_until_ms(
+        self, *, now: float, lease_s: float, overdue_s: float
+    ) -> int | None:
         """Return the end of a lease given now, on the worker's clock.
 
-        ``None`` if that clock is unknown.
+        It is as much shorter as the permission to give it is overdue. ``None``
+        if nothing is left of it, or if that clock is unknown.
         """
-        if self.clock_ms is None:
+        if self.clock_ms is None or overdue_s >= lease_s:
             return None
-        passed = now - self.clock_at + lease_s
+        passed = now - self.clock_at + lease_s - overdue_s
         return self.clock_ms + int(passed * _MS_PER_S)
 
     def leases_expired(
@@ -183,7 +186,7 @@
         A former owner may have extended them until ``former_sent_at``.
         """
         sent_at = max(self.lease_sent_at, former_sent_at)
-        return now > sent_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
+        return now > lease_end(sent_at=sent_at, lease_s=lease_s)
 
     def learn_speed(
         self, worked_s: float, typical_s: float, step: Step
@@ -205,6 +208,11 @@
         self.probe_run = None
 
 
+def lease_end(*, sent_at: float, lease_s: float) -> float:
+    """Return the time at which a lease that was sent has certainly ended."""
+    return sent_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
+
+
 def tells_health(step: Step) -> bool:
     """Return whether the run of a task shows how well its worker works.
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -12,7 +12,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.feeds import FeedHealth
-from cyclamentrack.jobs.journal import HEAD
+from cyclamentrack.jobs.journal import HEAD, Head, OwnershipLostError
 from cyclamentrack.jobs.model import Job, JobId, JobState
 from cyclamentrack.jobs.ports import (
     Batch,
@@ -140,15 +140,21 @@
                     self._forget(job)
 
     def _load_voters(self, records: Page) -> None:
-        """Load the former owner's voters; malformed ones stay unknown."""
-        voters: dict[WorkerId, Voter] = {}
-        for row in records.rows:
-            if row.key.key == VOTERS:
-                try:
-                    voters = decode(row.body, dict[WorkerId, Voter])
-                except msgspec.ValidationError as error:
-                    _log.error('voters not decoded: %s', error)
-                    return
+        """Load the former owner's voters; malformed ones stay unknown.
+
+        Raises ``OwnershipLostError`` if they may be those of a later owner.
+        """
+        claim = self._owner.claim
+        rows = {row.key.key: row for row in records.rows}
+        head = rows.get(HEAD)
+        if head is None or decode(head.body, Head).owner != claim.id:
+            raise OwnershipLostError(part=claim.pool)
+        row = rows.get(VOTERS)
+        try:
+            voters = decode(row.body, dict[WorkerId, Voter]) if row else {}
+        except msgspec.ValidationError as error:
+            _log.error('voters not decoded pool=%s: %s', claim.pool, error)
+            return
         self._owner.quorum.load_voters(voters)
 
     def _continue_job(self, entry: JobRun) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -111,8 +111,9 @@
             now = trio.current_time()
             worker.lease_sent_at = now
             placement.lease_until_ms = worker.lease_until_ms(
-                now=now - owner.quorum.overdue_s,
+                now=now,
                 lease_s=owner.timings.worker_lease_s,
+                overdue_s=owner.quorum.overdue_s,
             )
         placement.sent = True
         job = owner.registry.jobs[placement.task.job].job
--- a/packages/cyclamentrack/cyclamentrack/jobs/lease_quorum.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/lease_quorum.py
@@ -23,7 +23,8 @@
 _log = logging.getLogger(__name__)
 
 # For this long after its claim was last confirmed or vouched for, an owner
-# extends leases: three renewals, or two polls of each worker.
+# extends leases. Three renewals and usually two polls of a worker fit in; where
+# polls take longer, leases get shorter by some tenths of a second.
 EXTENSION_S = 2.0
 # No owner extends leases for longer than this without the store, so that a
 # successor waits no longer for voters of which most are lost.
@@ -57,6 +58,7 @@
         self._excluded_at: float | None = None
         self._recorded: dict[WorkerId, Voter] | None = None
         self._pending: dict[WorkerId, Voter] | None = None
+        self._refused = False
         self._answers: dict[WorkerId, _Answer] = {}
         self._instances: dict[InstanceId, int] = {}
 
@@ -91,11 +93,6 @@
             return latest
         return min(self._excluded_at + EXTENSION_S, latest)
 
-    @property
-    def change(self) -> dict[WorkerId, Voter] | None:
-        """Voters that are being recorded, ``None`` without such a change."""
-        return self._pending
-
     def confirm(self, requested_at: float) -> None:
         """Record that the store confirmed the claim in answer to a call."""
         self._confirmed_at = max(self._confirmed_at, requested_at)
@@ -130,9 +127,13 @@
         self._pending = dict(voters)
         return True
 
+    def note_refused(self) -> None:
+        """Keep both sets of voters, since the store refuses the new ones."""
+        self._refused = True
+
     def end_change(self) -> None:
-        """Use the new voters alone, since the journal has stored them."""
-        if self._pending is not None:
+        """Use the new voters alone, unless the journal has dropped them."""
+        if self._pending is not None and not self._refused:
             self._recorded = self._pending
             self._pending = None
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -48,6 +48,7 @@
     WorkerOrders,
 )
 from cyclamentrack.jobs.records import (
+    VOTERS,
     Claim,
     closed_key,
     recorded_job,
@@ -347,6 +348,8 @@
 
         Without its record the next owner would run its tasks again.
         """
+        if key.key == VOTERS:
+            self.quorum.note_refused()
         job = recorded_job(key)
         entry = self.registry.jobs.get(job) if job else None
         if entry is None or entry.state is not None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/recovery_leases.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/recovery_leases.py
@@ -72,8 +72,9 @@
             asked_at = quorum.now
             now = trio.current_time()
             until = worker.lease_until_ms(
-                now=now - quorum.overdue_s,
+                now=now,
                 lease_s=self._owner.timings.worker_lease_s,
+                overdue_s=quorum.overdue_s,
             )
             if until is not None:
                 self._owner.recovery_leases_sent_at[worker.entry.id] = now
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -122,8 +122,9 @@
         owner = self._owner
         worker = self._worker
         lease = worker.lease_until_ms(
-            now=sent_at - owner.quorum.overdue_s,
+            now=sent_at,
             lease_s=owner.timings.worker_lease_s,
+            overdue_s=owner.quorum.overdue_s,
         )
         if self._unanswered >= _MAX_UNANSWERED_POLLS:
             lease = None
--- a/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
@@ -10,7 +10,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.feeds import FeedHealth
-from cyclamentrack.jobs.fleet import Worker
+from cyclamentrack.jobs.fleet import Worker, lease_end
 from cyclamentrack.jobs.lease_quorum import EXTENSION_S
 from cyclamentrack.jobs.ports import (
     Changes,
@@ -31,7 +31,6 @@
 _FEED_RETRY_S = 0.15
 # Worker entries change often, and only state and address are needed.
 _FEED_GAP_S = 0.25
-_CLOCK_SLACK = 1.03
 # First polls at the same time: with new connections to all workers at once, all
 # first polls would time out.
 _CONCURRENT_CONTACTS = 16
@@ -82,14 +81,18 @@
         Waits until the lease of such a worker has certainly ended.
         """
         quorum = self._owner.quorum
-        lease_s = self._owner.timings.worker_lease_s * _CLOCK_SLACK
         recovery_leases_sent_at = self._owner.recovery_leases_sent_at.values()
         with trio.move_on_at(quorum.extensions_end_at):
             await quorum.excluded.wait()
         lease_sent_at = max(
             (quorum.extensions_end_at, *recovery_leases_sent_at)
         )
-        await trio.sleep_until(lease_sent_at + lease_s)
+        await trio.sleep_until(
+            lease_end(
+                sent_at=lease_sent_at,
+                lease_s=self._owner.timings.worker_lease_s,
+            )
+        )
         await self._listed.wait()
         for placement in list(placements(self._owner.registry)):
             if placement.worker not in self._owner.fleet.workers:
