--- a/features/decisions/lease_quorum.feature
+++ b/features/decisions/lease_quorum.feature
@@ -55,7 +55,7 @@
     And the store refuses the owner's record of voters
     And 3 seconds go by for the owner
     And w5,w6,w7 answer the owner
-    Then the owner's permission has ended 1 seconds ago
+    Then the owner's permission has ended 3.1 seconds ago
 
   Scenario: An owner that has reached too few voters leaves them as they are
     When 3 seconds go by for the owner
