Repeat a lost order to pace a task until it is answered

Cause: the owner noted a pace when it sent the order; without an answer the task went on at its former pace, and nothing was sent until the pace changed again.

Change: an order is repeated until it is answered, the pace has changed, or the run is being stopped or has ended. One order of a run is in transit at a time. The stand-in's workers record the pace of their runs.

--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -75,10 +75,14 @@
 
 
 class MemoryRun(msgspec.Struct, kw_only=True, eq=False):
-    """A run on a worker; times are in seconds of the test's clock."""
+    """A run on a worker; times are in seconds of the test's clock.
+
+    ``percent`` is the share of its full speed that was ordered last.
+    """
 
     order: StartOrder
     started_at: float
+    percent: int = 100
     stop_at: float | None = None
 
 
@@ -219,7 +223,7 @@
                     run=number,
                     checkpoint=self._checkpoint(task, run, now),
                     percent=self._percent(task, run, now),
-                    reading=0.0,
+                    reading=self._workers.readings.get(task.job, 0.0),
                 )
                 for (task, number), run in self.runs.items()
             ),
@@ -292,7 +296,12 @@
 
 
 class MemoryWorkers:
-    """All workers of a test, and the record of their runs and polls."""
+    """All workers of a test, and the record of their runs and polls.
+
+    ``readings`` are the response times that the tasks of a job report.
+    ``paces`` counts the orders to pace a task, and ``lost_paces`` those to come
+    that are lost.
+    """
 
     def __init__(self, *, links: Links | None = None) -> None:
         """Start without workers; ``links`` tells which nodes reach them."""
@@ -302,6 +311,9 @@
         self.acknowledged_tasks: set[TaskName] = set()
         self.starts: list[tuple[float, TaskName, int, WorkerId]] = []
         self.polls: list[PollRecord] = []
+        self.readings: dict[str, float] = {}
+        self.paces = 0
+        self.lost_paces = 0
         self.violations: list[str] = []
         self.completed_tasks: set[TaskName] = set()
         self._checkpoints: dict[tuple[str, int, int], str] = {}
@@ -436,9 +448,17 @@
         percent: int,
         token: Token,
     ) -> None:
-        """Do nothing: runs of a test don't slow each other down."""
-        del task, run, percent, token
-        await self._reach(worker)
+        """Record a run's pace; runs of a test don't slow each other down."""
+        del token
+        self._workers.paces += 1
+        target = await self._reach(worker)
+        if self._workers.lost_paces > 0:
+            self._workers.lost_paces -= 1
+            await trio.sleep(_UNREACHABLE_S)
+            raise WorkerUnreachableError(worker=worker.id)
+        paced = target.runs.get((task, run))
+        if paced is not None:
+            paced.percent = percent
 
     async def _poll(self, worker: WorkerEntry, order: PollOrder) -> PollReport:
         self._workers.polls.append(
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -70,9 +70,9 @@
 
     Times are steady seconds except ``lease_until_ms``, which is on the
     worker's clock. ``percent`` is the progress, ``pace`` the speed of a
-    best-effort run in percent, and ``reading`` the tail response time of a
-    serving run in milliseconds. ``sent`` is set once a start order may have
-    reached the worker.
+    best-effort run in percent, which is being ordered while ``pacing``, and
+    ``reading`` the tail response time of a serving run in milliseconds.
+    ``sent`` is set once a start order may have reached the worker.
     """
 
     task: TaskName
@@ -90,6 +90,7 @@
     progressed_at: float = 0.0
     reading: float = 0.0
     pace: int = _PERCENT
+    pacing: bool = False
     resumed: bool = False
     stopping: bool = False
     stop_acknowledged_at: float = 0.0
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -497,22 +497,48 @@
     ) -> None:
         for placement in best_effort:
             wanted = next_pace(placement.pace, readings)
-            if wanted != placement.pace:
-                placement.pace = wanted
+            if wanted == placement.pace:
+                continue
+            placement.pace = wanted
+            if not placement.pacing:
+                placement.pacing = True
                 self._owner.nursery.start_soon(self._send_pace, placement)
 
     async def _send_pace(self, placement: Placement) -> None:
+        """Order a run's newest pace until it is acknowledged or void.
+
+        One order is sent at a time, so that an earlier pace isn't in transit
+        beside a later one.
+        """
+        acknowledged: int | None = None
+        while self._is_paced(placement) and placement.pace != acknowledged:
+            percent = placement.pace
+            if await self._order_pace(placement, percent):
+                acknowledged = percent
+            else:
+                await trio.sleep(_RETRY_S)
+        placement.pacing = False
+
+    def _is_paced(self, placement: Placement) -> bool:
+        task = self._owner.registry.task(placement.task)
+        current = task is not None and task.placement is placement
+        return current and not placement.stopping
+
+    async def _order_pace(self, placement: Placement, percent: int) -> bool:
+        """Order a run's pace once; return whether the worker answered."""
         owner = self._owner
         try:
             await owner.orders.pace(
                 worker=self._worker.entry,
                 task=placement.task,
                 run=placement.run,
-                percent=placement.pace,
+                percent=percent,
                 token=owner.claim.token,
             )
         except WorkerUnreachableError:
             _log.info('pace unanswered task=%s', placement.task)
+            return False
+        return True
 
     def _evacuate(self) -> None:
         """Move runs that can't end in time from a draining worker."""
