Write a member's row only under its version

Cause: a node registered and removed itself without a condition, and repeated what went unanswered. A late removal took a restarted node out of the members; a late registration brought back one that had left.

Change: MemberRow writes under the version that it knows. Where a lost creation of the row may still be carried out, a leaving node marks its row as left instead of removing it.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -158,9 +158,10 @@
         entry = self.workers.workers[name].entry
         self.rows.put(RowKey('servers', '', name), msgspec.json.encode(entry))
 
-    def start_node(self, name, **capacity):
-        """Start a node; ``capacity`` sets fields of its ``Member``."""
-        self.loop.run(self._start_node, name, capacity)
+    def start_node(self, name, **changes):
+        """Start a node; ``changes`` sets fields of its ``Member``."""
+        changes.setdefault('incarnation', '1')
+        self.loop.run(self._start_node, name, changes)
 
     def kill_node(self, name):
         async def kill():
@@ -249,12 +250,10 @@
             RowKey('servers', '', entry.id), msgspec.json.encode(entry)
         )
 
-    async def _start_node(self, name, capacity):
+    async def _start_node(self, name, changes):
         self.permit_clients[name] = self.permit_service.for_node()
         cell = JobCell(
-            me=Member(
-                node=name, incarnation='1', address=name, zone='z', **capacity
-            ),
+            me=Member(node=name, address=name, zone='z', **changes),
             dependencies=CellDependencies(
                 store=self.rows.client(name),
                 orders=self.workers.orders(name),
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -8,7 +8,7 @@
 import msgspec
 import trio
 
-from cyclamentrack.codec import decode, encode
+from cyclamentrack.codec import decode
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.claim_order import capacity_classes, claim_delays_s
@@ -21,6 +21,7 @@
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.guarded_orders import GuardedOrders
 from cyclamentrack.jobs.journal import Journal, OwnershipLostError
+from cyclamentrack.jobs.member_row import MemberRow
 from cyclamentrack.jobs.messages import (
     AskPermits,
     CancelStored,
@@ -33,7 +34,6 @@
 from cyclamentrack.jobs.owner import OwnerDependencies, SliceOwner
 from cyclamentrack.jobs.permits import PermitRoute
 from cyclamentrack.jobs.ports import (
-    Batch,
     CellTables,
     EntryDecoder,
     HistoryLostError,
@@ -142,6 +142,7 @@
         self.configuration_feed = FeedHealth(name='configuration')
         self.members_feed = FeedHealth(name='members')
         self.leaving = False
+        self._member_row = MemberRow(store=dependencies.store, member=me)
         self._nursery: trio.Nursery | None = None
         self._permit_call_lock = trio.Lock()
         self._claiming: set[PoolName] = set()
@@ -158,7 +159,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self.dependencies.timeouts.run)
-            nursery.start_soon(self._register_member)
+            nursery.start_soon(self._member_row.register)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_members)
             nursery.start_soon(self.lease_tracker.follow)
@@ -317,22 +318,9 @@
         except PeerUnreachableError as error:
             _log.info('owner not notified; its feed will deliver it: %s', error)
 
-    async def _register_member(self) -> None:
-        key = member_key(self.me.node)
-        while True:
-            try:
-                await self.dependencies.store.commit(
-                    Batch(puts=((key, encode(self.me)),)),
-                )
-            except (StoreUncertainError, StoreRefusedError):
-                await trio.sleep(_RETRY_S)
-            else:
-                return
-
     async def _remove_member(self) -> None:
-        key = member_key(self.me.node)
         try:
-            await self.dependencies.store.commit(Batch(removes=(key,)))
+            await self._member_row.remove()
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.warning('member entry not removed on leaving: %s', error)
 
@@ -395,9 +383,14 @@
     def _apply_member(self, row: StoredRow) -> None:
         self._permit_routes.clear()
         try:
-            self.members[row.key.key] = decode(row.body, Member)
+            member = decode(row.body, Member)
         except msgspec.ValidationError as error:
             _log.warning('member %s not decoded: %s', row.key.key, error)
+            return
+        if member.left:
+            self.members.pop(row.key.key, None)
+        else:
+            self.members[row.key.key] = member
 
     async def _follow(
         self,
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -48,7 +48,8 @@
     """One node of the cell, with its address and its capacity.
 
     ``cores`` is its share of the processor in cores, and ``link_mbps`` the
-    bandwidth of its link; 0 means unknown.
+    bandwidth of its link; 0 means unknown. A node that has ``left`` isn't a
+    member any more.
     """
 
     node: str
@@ -57,6 +58,7 @@
     zone: str
     cores: float = 0.0
     link_mbps: float = 0.0
+    left: bool = False
 
 
 def jobs_part(job: JobId) -> str:
