--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -9,7 +9,7 @@
 import trio
 
 from cyclamentrack.clocks import suspended_s
-from cyclamentrack.codec import decode, encode
+from cyclamentrack.codec import decode
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.claim_health import ClaimHealth
@@ -23,6 +23,7 @@
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.guarded_orders import GuardedOrders
 from cyclamentrack.jobs.journal import Journal, OwnershipLostError
+from cyclamentrack.jobs.member_row import MemberRow
 from cyclamentrack.jobs.messages import (
     AskPermits,
     CancelStored,
@@ -36,7 +37,6 @@
 from cyclamentrack.jobs.permits import PermitRoute
 from cyclamentrack.jobs.ports import (
     DEFAULT_ROW_BYTES,
-    Batch,
     CellTables,
     EntryDecoder,
     HistoryLostError,
@@ -146,6 +146,7 @@
         self.configuration_feed = FeedHealth(name='configuration')
         self.members_feed = FeedHealth(name='members')
         self.leaving = False
+        self._member_row = MemberRow(store=dependencies.store, member=me)
         self._nursery: trio.Nursery | None = None
         self._permit_call_lock = trio.Lock()
         self._claiming: set[PoolName] = set()
@@ -162,7 +163,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self.dependencies.timeouts.run)
-            nursery.start_soon(self._register_member)
+            nursery.start_soon(self._member_row.register)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_members)
             nursery.start_soon(self.lease_tracker.follow)
@@ -321,22 +322,9 @@
         except PeerUnreachableError as error:
             _log.info('owner not notified; its feed will deliver it: %s', error)
 
-    async def _register_member(self) -> None:
-        key = member_key(self.me.node)
-        while True:
-            try:
-                await self.dependencies.store.commit(
-                    Batch(puts=((key, encode(self.me)),)),
-                )
-            except (StoreUncertainError, StoreRefusedError):
-                await trio.sleep(_RETRY_S)
-            else:
-                return
-
     async def _remove_member(self) -> None:
-        key = member_key(self.me.node)
         try:
-            await self.dependencies.store.commit(Batch(removes=(key,)))
+            await self._member_row.remove()
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.warning('member entry not removed on leaving: %s', error)
 
@@ -399,9 +387,14 @@
     def _apply_member(self, row: StoredRow) -> None:
         self._permit_routes.clear()
         try:
-            self.members[row.key.key] = decode(row.body, Member)
+            member = decode(row.body, Member)
         except msgspec.ValidationError as error:
             _log.warning('member %s not decoded: %s', row.key.key, error)
+            return
+        if member.left:
+            self.members.pop(row.key.key, None)
+        else:
+            self.members[row.key.key] = member
 
     async def _follow(
         self,
