Spare an owner the whole step at each end of one of its tasks

Cause: each end of a task looked at all tasks of its step (which are done, and whether any is placed) and sorted the durations of all completed ones; so did each poll for each run.

Change: a step remembers up to which task all are done, keeps its durations in order, and looks for placed tasks among those not done first.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -20,6 +20,7 @@
     'tombstones',
     'rounds',
     'routes',
+    'wide',
 )
 _LOG_REPORTS = {'day': day.measure, 'takeovers': takeovers.measure}
 
--- a/features/jobs/wide_step.feature
+++ b/features/jobs/wide_step.feature
@@ -74,3 +74,10 @@
     Then the first job is shown as "completed"
     And all members were started last in the same run
     And the workers' record is clean
+
+  Scenario: An end costs the encoding of its own row, not of its whole step
+    Given a job cell of 1 nodes and 2 workers
+    And the queue needs no permits
+    When a job of 500 tasks of 2 seconds is submitted and its rows are counted
+    Then the first job is shown as "completed"
+    And at most 64 tasks were encoded for each start and end
--- a/features/steps/wide_step_steps.py
+++ b/features/steps/wide_step_steps.py
@@ -1,8 +1,11 @@
 """Steps about steps with more tasks than one row of the store can hold."""
 
+from unittest import mock
+
 from behave import given, then, when
 
 from cyclamentrack.codec import decode, encode
+from cyclamentrack.jobs import registry
 from cyclamentrack.jobs.ports import Batch, RowKey
 from cyclamentrack.jobs.registry import TaskRow
 from cyclamentrack.jobs.service import RequestOutcome
@@ -175,3 +178,22 @@
 def check_members(context):
     last = {task: run for _, task, run, _ in context.jobs.workers.starts}
     assert len(set(last.values())) == 1, last
+
+
+@when(
+    'a job of {count:d} tasks of {work:g} seconds is submitted '
+    'and its rows are counted'
+)
+def count_rows(context, count, work):
+    encoded = mock.patch.object(
+        registry, '_task_row', side_effect=registry._task_row
+    )
+    with encoded as rows:
+        submit_wide(context, count, 'tasks', work)
+        context.jobs.loop.sleep(3 * work)
+    context.encoded = rows.call_count / (2 * count)
+
+
+@then('at most {count:d} tasks were encoded for each start and end')
+def check_encoded(context, count):
+    assert 0 < context.encoded <= count, context.encoded
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -386,7 +386,7 @@
         if not current.resumed:
             entry = self.registry.jobs[step.name.job]
             self.estimate_accuracy.record(entry.job.queue, step.step, worked_s)
-            step.durations_s.append(worked_s)
+            step.record_duration(worked_s)
             if len(step.durations_s) == 1:
                 self.registry.update_critical_path(entry)
         if (
@@ -443,13 +443,13 @@
         if step.done:
             self.registry.open_steps.pop(step.name, None)
             self._forget_permits(step)
-        if not entry.placed:
+        if not entry.any_placed:
             entry.idle_since = trio.current_time()
         if entry.state is None:
             self.open_due(entry)
             if self.registry.all_done(entry):
                 self.close(entry, JobState.COMPLETED)
-        elif entry.published and not entry.placed:
+        elif entry.published and not entry.any_placed:
             self.registry.drop(entry)
         self.wake()
 
@@ -457,7 +457,7 @@
         await self.journal.flushed()
         entry.published = True
         self.registry.closed[entry.job.id] = closed
-        if not entry.placed:
+        if not entry.any_placed:
             self.registry.drop(entry)
 
     async def _dispatch_rounds(
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -6,7 +6,6 @@
 
 import bisect
 import enum
-import statistics
 from collections.abc import Iterator
 
 import msgspec
@@ -133,6 +132,7 @@
     them. ``splits`` are rows besides those of a fixed number of tasks,
     ``stored_rows`` the rows that may be in the store, and ``restored_from``
     has for each task read from the store its row, in the order of reading.
+    ``durations_s`` is sorted, and all tasks before ``first_open`` are done.
     """
 
     name: StepName
@@ -144,16 +144,24 @@
     splits: list[int] = msgspec.field(default_factory=list)
     stored_rows: set[int] = msgspec.field(default_factory=set)
     restored_from: dict[int, int] = msgspec.field(default_factory=dict)
+    first_open: int = 0
 
     @property
     def done(self) -> bool:
         """Whether all tasks have completed."""
-        return all(task.done for task in self.tasks)
+        tasks = self.tasks
+        while self.first_open < len(tasks) and tasks[self.first_open].done:
+            self.first_open += 1
+        return self.first_open == len(tasks)
 
     @property
     def idle(self) -> list[TaskRun]:
         """Tasks that wait to be placed; for a gang all of them or none."""
-        waiting = [task for task in self.tasks if task.idle]
+        waiting = [
+            task
+            for task in self.tasks[self.first_open :]
+            if task.placement is None and not task.done
+        ]
         if self.step.gang and len(waiting) < len(self.tasks):
             return []
         return waiting
@@ -163,12 +171,26 @@
         """Current placements of this step's tasks."""
         return [task.placement for task in self.tasks if task.placement]
 
+    @property
+    def any_placed(self) -> bool:
+        """Whether a task is placed; those not done are looked at first."""
+        found = self.first_open
+        return any(task.placement for task in self.tasks[found:]) or any(
+            task.placement for task in self.tasks[:found]
+        )
+
     @property
     def task_s(self) -> float:
         """Seconds per task: the median of completed ones, or the estimate."""
-        if self.durations_s:
-            return statistics.median(self.durations_s)
-        return self.step.estimate_s
+        known = self.durations_s
+        if not known:
+            return self.step.estimate_s
+        middle = len(known) // 2
+        return (known[middle] + known[-1 - middle]) / 2
+
+    def record_duration(self, worked_s: float) -> None:
+        """Record how long a completed task took."""
+        bisect.insort(self.durations_s, worked_s)
 
     def count_gang_failure(self, run: int) -> None:
         """Count a failed run of a gang once, however many members failed."""
@@ -284,6 +306,11 @@
         """Current placements of this job's tasks."""
         return [run for step in self.steps.values() for run in step.placed]
 
+    @property
+    def any_placed(self) -> bool:
+        """Whether a task of this job is placed."""
+        return any(step.any_placed for step in self.steps.values())
+
     def has_started(self) -> bool:
         """Return whether a task is known to have ever started."""
         if self.placed_once and not self.started:
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -337,7 +337,7 @@
         since = max(entry.idle_since, step.opened_at)
         if self._busy or self.now - since < _NEGLECT_S:
             return False
-        return not entry.placed
+        return not entry.any_placed
 
     def _find_eligible(self, step: StepRun, known: StepPermits) -> list[Worker]:
         fitting = self._allowed(
