Refuse an id that another queue's job has

A POST whose id is that of another queue's job was answered 200, and nothing of it ever ran; its GET showed the other queue's job.

Cause: a request is taken for the repetition of an accepted one if the row of its id is there, whatever queue it came by. A caller names a job by its queue's address and the id. A run of its own was ruled out: a task's name on the workers has the id and no queue.

Change: the stored job says by which name and address its queue accepted it (its terms), and so do the record of its end and a cancellation. A request means that job if its queue has that name or that address, so a queue that moves or is renamed keeps its jobs. An owner takes no notice of another queue's cancellation, stored by a node that couldn't read the job.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -88,6 +88,7 @@
         self.stores_terms = True
         self._clock_advance_s = 0.0
         self._jobs = 0
+        self._queue_of = {}
         self.loop.run(self._begin)
 
     def close(self):
@@ -193,6 +194,7 @@
         """
         job = self.next_job
         self._jobs += 1
+        self._queue_of[job] = queue
         for number, step in enumerate(steps):
             self.workers.behaviours[job, number] = Behaviour(
                 step=step, **self.task_defaults | behaviour
@@ -213,8 +215,10 @@
 
         return job, self.loop.run(send)
 
-    def cancel(self, job, *, queue='lookups'):
+    def cancel(self, job):
+        """Cancel a job through the queue that it was submitted on."""
         service = next(iter(self.services.values()))
+        queue = self._queue_of[job]
 
         async def send():
             return await service.cancel(
@@ -223,9 +227,10 @@
 
         return self.loop.run(send)
 
-    def state(self, job, *, queue='lookups', node=None):
-        """Return the state of a job that a node shows."""
+    def state(self, job, *, node=None):
+        """Return the state of a job that a node shows through its queue."""
         service = self.services[node or next(iter(self.services))]
+        queue = self._queue_of.get(job, 'lookups')
 
         async def ask():
             return await service.show(queue=self.queues[queue], job=job)
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -203,8 +203,8 @@
             match message:
                 case JobStored(job=job):
                     owner.intake.apply_stored_job(job)
-                case CancelStored(job=job):
-                    owner.intake.apply_cancel(job)
+                case CancelStored(job=job, origin=origin):
+                    owner.intake.apply_cancel(job, origin)
             return
         address = self.owner_address(pool)
         if address is not None and self._nursery is not None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -12,7 +12,7 @@
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import HEAD
-from cyclamentrack.jobs.model import Job, JobId, JobState
+from cyclamentrack.jobs.model import Job, JobId, JobState, Origin
 from cyclamentrack.jobs.ports import (
     Batch,
     HistoryLostError,
@@ -109,9 +109,9 @@
             self._admit(job)
             self._owner.wake()
 
-    def apply_cancel(self, job: JobId) -> None:
+    def apply_cancel(self, job: JobId, origin: Origin | None) -> None:
         """Cancel a job whose cancellation a node has just stored."""
-        self._close_cancelled(job)
+        self._close_cancelled(job, origin)
         self._owner.wake()
 
     async def remove_expired_jobs(self) -> None:
@@ -135,7 +135,7 @@
                     self._forget(job)
 
     def _continue_job(self, entry: JobRun) -> None:
-        if entry.job.id in self._owner.registry.cancels:
+        if self._owner.registry.is_cancelled(entry.job):
             self._owner.close(entry, JobState.CANCELLED)
             return
         self._owner.open_due(entry)
@@ -219,7 +219,7 @@
     def _apply_row(self, row: StoredRow) -> None:
         cancelled = cancelled_job(row.key)
         if cancelled is not None:
-            self._close_cancelled(cancelled)
+            self._close_cancelled(cancelled, _read_origin(row.body))
             return
         pool = self._owner.claim.pool
         if JobId(row.key.key) in self._owner.registry.closed:
@@ -262,21 +262,24 @@
         )
         self._continue_job(entry)
 
-    def _close_cancelled(self, job: JobId) -> None:
-        self._owner.registry.cancels.add(job)
-        entry = self._owner.registry.jobs.get(job)
-        if entry is not None and self._owner.recovered.is_set():
+    def _close_cancelled(self, job: JobId, origin: Origin | None) -> None:
+        registry = self._owner.registry
+        registry.cancels[job] = origin
+        entry = registry.jobs.get(job)
+        if entry is None or not self._owner.recovered.is_set():
+            return
+        if registry.is_cancelled(entry.job):
             self._owner.close(entry, JobState.CANCELLED)
 
     def _forget_cancellation(self, key: RowKey) -> None:
         """Forget a cancellation whose row is gone, also of other pools."""
         job = cancelled_job(key)
         if job is not None and job not in self._owner.registry.jobs:
-            self._owner.registry.cancels.discard(job)
+            self._owner.registry.cancels.pop(job, None)
 
     def _forget(self, job: JobId) -> None:
         self._owner.registry.closed.pop(job)
-        self._owner.registry.cancels.discard(job)
+        self._owner.registry.cancels.pop(job, None)
         self._former_keys.pop(job, None)
         self._owner.journal.put(closed_key(self._owner.claim.pool, job), None)
 
@@ -298,3 +301,11 @@
             _log.info('expired job not removed job=%s: %s', job, error)
             return False
         return True
+
+
+def _read_origin(body: bytes) -> Origin | None:
+    """Return the queue of a cancellation; earlier versions stored none."""
+    try:
+        return decode(body, Origin)
+    except msgspec.ValidationError:
+        return None
--- a/packages/cyclamentrack/cyclamentrack/jobs/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/messages.py
@@ -3,7 +3,14 @@
 import msgspec
 
 from cyclamentrack.ids import PoolName, WorkerId
-from cyclamentrack.jobs.model import Job, JobId, JobState, QueueName, StepName
+from cyclamentrack.jobs.model import (
+    Job,
+    JobId,
+    JobState,
+    Origin,
+    QueueName,
+    StepName,
+)
 
 
 class AskJobState(msgspec.Struct, frozen=True, kw_only=True, tag='ask-job'):
@@ -14,10 +21,14 @@
 
 
 class JobStateReply(msgspec.Struct, frozen=True, kw_only=True, tag='job-state'):
-    """The job's state; ``owned`` is false if the peer isn't the owner."""
+    """The job's state; ``owned`` is false if the peer isn't the owner.
+
+    The origin is that of the job, ``None`` if there is none.
+    """
 
     owned: bool
     state: JobState | None = None
+    origin: Origin | None = None
 
 
 class AskWaiting(msgspec.Struct, frozen=True, kw_only=True, tag='ask-waiting'):
@@ -47,6 +58,7 @@
 
     known: bool
     state: JobState | None = None
+    origin: Origin | None = None
 
 
 class AskPermits(msgspec.Struct, frozen=True, kw_only=True, tag='ask-permits'):
@@ -75,10 +87,11 @@
 
 
 class CancelStored(msgspec.Struct, frozen=True, kw_only=True, tag='stop-kept'):
-    """Notify the owner of a slice of a job's cancellation."""
+    """Notify the owner of a slice of a job's cancellation by a queue."""
 
     pool: PoolName
     job: JobId
+    origin: Origin | None = None
 
 
 class ForwardSubmit(msgspec.Struct, frozen=True, kw_only=True, tag='fwd-job'):
@@ -93,6 +106,7 @@
     pool: PoolName
     queue: QueueName
     job: JobId
+    origin: Origin | None = None
 
 
 class TransferSlice(msgspec.Struct, frozen=True, kw_only=True, tag='yield'):
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -74,6 +74,35 @@
     target_s: float = 0.0
     permits: PermitPolicy | None = None
 
+    @property
+    def address(self) -> str:
+        """Where callers reach the queue: host and prefix of the path."""
+        return f'{self.host}{self.path_prefix}'
+
+    @property
+    def origin(self) -> 'Origin':
+        """The origin of jobs that the queue accepts now."""
+        return Origin(queue=self.name, address=self.address)
+
+
+class Origin(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """The queue that a job was accepted on, and its address then.
+
+    Rows of earlier versions lack the address.
+    """
+
+    queue: QueueName
+    address: str = ''
+
+    def matches(self, other: 'Origin') -> bool:
+        """Return whether both are one queue, by its name or its address.
+
+        The configuration may change either of them.
+        """
+        if self.queue == other.queue:
+            return True
+        return bool(self.address) and self.address == other.address
+
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True, dict=True):
     """One version of the configuration; version numbers only increase."""
@@ -146,6 +175,11 @@
     interval_s: float = 0.0
     terms: Queue | None = None
 
+    @property
+    def origin(self) -> Origin:
+        """The queue that the job was accepted on."""
+        return self.terms.origin if self.terms else Origin(queue=self.queue)
+
     @property
     def timed(self) -> bool:
         """Whether the job's occurrences have due times."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -18,7 +18,7 @@
     ForwardSubmit,
     OutcomeReply,
 )
-from cyclamentrack.jobs.model import Job, JobId
+from cyclamentrack.jobs.model import Job, JobId, Origin
 from cyclamentrack.jobs.ports import (
     Batch,
     Conflict,
@@ -48,7 +48,7 @@
     ``STORED`` means that the request was stored; ``REFUSED`` that it was not
     and won't be; ``UNKNOWN`` that it may have been; ``NOT_FOUND`` that there is
     no such job; ``IMPOSSIBLE`` that no worker of the pool is large enough for
-    one of its tasks.
+    one of its tasks; ``TAKEN`` that the id is that of another queue's job.
     """
 
     STORED = 'kept'
@@ -56,6 +56,7 @@
     UNKNOWN = 'unknown'
     NOT_FOUND = 'gone'
     IMPOSSIBLE = 'impossible'
+    TAKEN = 'taken'
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,9 +75,9 @@
     return Batch(expected=(Expect(key, 0),), puts=((key, encode(job)),))
 
 
-def cancel_batch(job: JobId) -> Batch:
-    """Return the write that cancels a job."""
-    return Batch(puts=((cancel_key(job), b'1'),))
+def cancel_batch(job: JobId, origin: Origin | None) -> Batch:
+    """Return the write by which a queue cancels its job."""
+    return Batch(puts=((cancel_key(job), encode(origin)),))
 
 
 _UNKNOWN = WriteResult(outcome=RequestOutcome.UNKNOWN)
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -22,6 +22,7 @@
     Job,
     JobId,
     JobState,
+    Origin,
     Queue,
     QueueName,
     Step,
@@ -33,11 +34,20 @@
 
 
 class Closed(msgspec.Struct, frozen=True, kw_only=True):
-    """Record of a job that has ended; its id can't be used again."""
+    """Record of a job that has ended; its id can't be used again.
+
+    Rows of earlier versions lack the address of its queue.
+    """
 
     state: JobState
     queue: QueueName
     closed_at_s: float
+    address: str = ''
+
+    @property
+    def origin(self) -> Origin:
+        """The queue that the job was accepted on."""
+        return Origin(queue=self.queue, address=self.address)
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
@@ -225,7 +235,7 @@
         self.jobs: dict[JobId, JobRun] = {}
         self._pool_capacity: PoolCapacity = _unknown_capacity
         self.closed: dict[JobId, Closed] = {}
-        self.cancels: set[JobId] = set()
+        self.cancels: dict[JobId, Origin | None] = {}
         self.open_steps: dict[StepName, StepRun] = {}
 
     def admit(self, *, job: Job, queue: Queue, now: float) -> JobRun | None:
@@ -311,7 +321,12 @@
         entry.state = state
         for step in entry.steps.values():
             self.open_steps.pop(step.name, None)
-        return Closed(state=state, queue=entry.job.queue, closed_at_s=wall_s)
+        return Closed(
+            state=state,
+            queue=entry.job.queue,
+            closed_at_s=wall_s,
+            address=entry.job.origin.address,
+        )
 
     def drop(self, entry: JobRun) -> None:
         """Remove a job that has ended and has no runs left."""
@@ -324,6 +339,23 @@
         entry = self.jobs.get(job)
         return entry.visible_state if entry else None
 
+    def origin(self, job: JobId) -> Origin | None:
+        """Return the queue of a job, ``None`` if the job is unknown."""
+        if job in self.closed:
+            return self.closed[job].origin
+        entry = self.jobs.get(job)
+        return entry.job.origin if entry else None
+
+    def is_cancelled(self, job: Job) -> bool:
+        """Return whether a job's own queue has cancelled it.
+
+        Earlier versions stored cancellations without their queue.
+        """
+        if job.id not in self.cancels:
+            return False
+        origin = self.cancels[job.id]
+        return origin is None or origin.matches(job.origin)
+
     def waiting(self) -> dict[QueueName, int]:
         """Count by queue the jobs that have not started any task."""
         counts: dict[QueueName, int] = {}
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -36,6 +36,7 @@
     Job,
     JobId,
     JobState,
+    Origin,
     Queue,
     QueueName,
 )
@@ -55,18 +56,21 @@
 _OWNER_TIMEOUT_S = 0.25
 _PEER_TIMEOUT_S = 0.5
 _MAX_PEERS_ASKED = 3
+_NOT_OWNED = JobStateReply(owned=False)
 
 
 class ShownState(msgspec.Struct, frozen=True, kw_only=True):
     """A job's state; ``known`` is false if it could not be found out.
 
-    A known ``state`` of ``None`` means that there is no such job. ``pool`` is
-    the one that the job was accepted for, ``None`` if that isn't known.
+    A known ``state`` of ``None`` means that there is no such job. ``pool`` and
+    ``origin`` are the ones that the job was accepted for, ``None`` if that
+    isn't known.
     """
 
     state: JobState | None = None
     known: bool = True
     pool: PoolName | None = None
+    origin: Origin | None = None
 
 
 class JobService:
@@ -89,7 +93,8 @@
         """Store a job, unless a job of the same id is stored already.
 
         The stored one may have been accepted for another pool, when the
-        configuration sent its queue there.
+        configuration sent its queue there. If it is another queue's job, the
+        outcome is ``TAKEN``.
         """
         if not self._could_run(job):
             return await self._refuse_impossible(job)
@@ -101,7 +106,7 @@
         if result.outcome is RequestOutcome.STORED:
             stored = job if result.found is None else _read_job(result.found)
             if stored is not None:
-                self._cell.notify_owner(stored.pool, JobStored(job=stored))
+                return self._accept_stored(stored, job)
         return result.outcome
 
     async def cancel(
@@ -113,23 +118,27 @@
             return RequestOutcome.NOT_FOUND
         pool = shown.pool or queue.pool
         result = await self._writer.write_with_retry(
-            cancel_batch(job),
-            ForwardCancel(pool=pool, queue=queue.name, job=job),
+            cancel_batch(job, queue.origin),
+            ForwardCancel(
+                pool=pool, queue=queue.name, job=job, origin=queue.origin
+            ),
             caller_timeout_s=caller_timeout_s,
         )
         if result.outcome is RequestOutcome.STORED:
-            self._cell.notify_owner(pool, CancelStored(pool=pool, job=job))
+            self._cell.notify_owner(
+                pool, CancelStored(pool=pool, job=job, origin=queue.origin)
+            )
         return result.outcome
 
     async def show(self, *, queue: Queue, job: JobId) -> ShownState:
-        """Return a job's state from its owner, the store or a peer."""
-        state = await self._owner_state(queue.pool, job)
-        if state is not None:
-            return ShownState(state=state, pool=queue.pool)
-        shown = await self._read_state(queue.pool, job)
-        if not shown.known:
-            shown = await self._ask_peers(queue.pool, job)
-        return shown
+        """Return a job's state from its owner, the store or a peer.
+
+        There is no such job if it is another queue's.
+        """
+        shown = await self._find(queue.pool, job)
+        if shown.origin is None or shown.origin.matches(queue.origin):
+            return shown
+        return ShownState()
 
     async def waiting(self, queue: QueueName, pool: PoolName) -> int | None:
         """Count the queue's jobs of which no task has started.
@@ -165,9 +174,9 @@
                 return await self._show_to_peer(pool, job)
             case ForwardSubmit(job=job):
                 return _reply(await self._writer.store_locally(job_batch(job)))
-            case ForwardCancel(job=job):
+            case ForwardCancel(job=job, origin=origin):
                 return _reply(
-                    await self._writer.store_locally(cancel_batch(job))
+                    await self._writer.store_locally(cancel_batch(job, origin))
                 )
             case TransferSlice(pool=pool, claim=claim):
                 taken = await self._cell.claim_from_owner(pool, claim)
@@ -181,6 +190,12 @@
             case _:
                 return OutcomeReply(kept=RequestOutcome.REFUSED.value)
 
+    def _accept_stored(self, stored: Job, job: Job) -> RequestOutcome:
+        if not stored.origin.matches(job.origin):
+            return RequestOutcome.TAKEN
+        self._cell.notify_owner(stored.pool, JobStored(job=stored))
+        return RequestOutcome.STORED
+
     def _apply_if_owned(
         self, pool: PoolName, message: JobStored | CancelStored
     ) -> None:
@@ -217,21 +232,33 @@
             return True
         return all(fits_empty_worker(step, shapes) for step in job.steps)
 
+    async def _find(self, pool: PoolName, job: JobId) -> ShownState:
+        found = await self._owner_state(pool, job)
+        if found.state is not None:
+            return ShownState(state=found.state, pool=pool, origin=found.origin)
+        shown = await self._read_state(pool, job)
+        if not shown.known:
+            shown = await self._ask_peers(pool, job)
+        return shown
+
     def _own_state(self, pool: PoolName, job: JobId) -> JobStateReply:
         owner = self._cell.owners.get(pool)
         if owner is None or not owner.recovered.is_set():
             return JobStateReply(owned=False)
-        return JobStateReply(owned=True, state=owner.registry.state(job))
+        return JobStateReply(
+            owned=True,
+            state=owner.registry.state(job),
+            origin=owner.registry.origin(job),
+        )
 
     async def _show_to_peer(self, pool: PoolName, job: JobId) -> ShowReply:
-        own = self._own_state(pool, job)
-        state = own.state
-        if not own.owned:
-            state = await self._ask_owner(pool, job)
-        if state is not None:
-            return ShowReply(known=True, state=state)
+        found = await self._owner_state(pool, job)
+        if found.state is not None:
+            return ShowReply(known=True, state=found.state, origin=found.origin)
         shown = await self._read_state(pool, job)
-        return ShowReply(known=shown.known, state=shown.state)
+        return ShowReply(
+            known=shown.known, state=shown.state, origin=shown.origin
+        )
 
     async def _ask_peers(self, pool: PoolName, job: JobId) -> ShownState:
         """Ask peers for a job's state; the store can't be read here."""
@@ -245,8 +272,8 @@
             except PeerUnreachableError:
                 continue
             match reply:
-                case ShowReply(known=True, state=state):
-                    return ShownState(state=state)
+                case ShowReply(known=True, state=state, origin=origin):
+                    return ShownState(state=state, origin=origin)
         return ShownState(known=False)
 
     async def _request_permits_for_peer(
@@ -279,10 +306,10 @@
             case _:
                 return None
 
-    async def _ask_owner(self, pool: PoolName, job: JobId) -> JobState | None:
+    async def _ask_owner(self, pool: PoolName, job: JobId) -> JobStateReply:
         address = self._cell.owner_address(pool)
         if address is None:
-            return None
+            return _NOT_OWNED
         try:
             reply = await self._cell.dependencies.peers.call(
                 address=address,
@@ -290,19 +317,17 @@
                 timeout_s=_OWNER_TIMEOUT_S,
             )
         except PeerUnreachableError:
-            return None
+            return _NOT_OWNED
         match reply:
-            case JobStateReply(state=state):
-                return state
+            case JobStateReply():
+                return reply
             case _:
-                return None
+                return _NOT_OWNED
 
-    async def _owner_state(self, pool: PoolName, job: JobId) -> JobState | None:
+    async def _owner_state(self, pool: PoolName, job: JobId) -> JobStateReply:
         """Return a job's state from the owner of a pool, if it has the job."""
-        owner = self._cell.owners.get(pool)
-        if owner is not None and owner.recovered.is_set():
-            return owner.registry.state(job)
-        return await self._ask_owner(pool, job)
+        own = self._own_state(pool, job)
+        return own if own.owned else await self._ask_owner(pool, job)
 
     async def _read_state(self, pool: PoolName, job: JobId) -> ShownState:
         """Read a job's state from the store."""
@@ -319,27 +344,31 @@
         """
         closed = await self._read_closed(pool, job)
         if closed is not None:
-            return ShownState(state=closed, pool=pool)
+            return ShownState(
+                state=closed.state, pool=pool, origin=closed.origin
+            )
         row = await self._read_row(pool, job)
         if row is None:
             return ShownState(state=None)
         stored = _read_job(row.body)
         if stored is None:
             return ShownState(known=False)
+        state = JobState.QUEUED
         if stored.pool != pool:
-            return await self._state_in_pool(stored.pool, job)
-        return ShownState(state=JobState.QUEUED, pool=pool)
+            state = await self._state_in_pool(stored.pool, job)
+        return ShownState(state=state, pool=stored.pool, origin=stored.origin)
 
-    async def _state_in_pool(self, pool: PoolName, job: JobId) -> ShownState:
+    async def _state_in_pool(self, pool: PoolName, job: JobId) -> JobState:
         """Return the state of a stored job in the pool that it belongs to."""
-        state = await self._owner_state(pool, job)
-        if state is None:
-            state = await self._read_closed(pool, job)
-        return ShownState(state=state or JobState.QUEUED, pool=pool)
+        found = await self._owner_state(pool, job)
+        if found.state is not None:
+            return found.state
+        closed = await self._read_closed(pool, job)
+        return closed.state if closed else JobState.QUEUED
 
-    async def _read_closed(self, pool: PoolName, job: JobId) -> JobState | None:
+    async def _read_closed(self, pool: PoolName, job: JobId) -> Closed | None:
         row = await self._store.read(closed_key(pool, job))
-        return None if row is None else decode(row.body, Closed).state
+        return None if row is None else decode(row.body, Closed)
 
     async def _read_row(self, pool: PoolName, job: JobId) -> StoredRow | None:
         """Read a job's own row, wherever this or an earlier version has it."""
@@ -359,7 +388,12 @@
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.warning('job not looked up job=%s: %s', job.id, error)
             return RequestOutcome.UNKNOWN
-        return RequestOutcome.STORED if row else RequestOutcome.IMPOSSIBLE
+        if row is None:
+            return RequestOutcome.IMPOSSIBLE
+        stored = _read_job(row.body)
+        if stored is None or stored.origin.matches(job.origin):
+            return RequestOutcome.STORED
+        return RequestOutcome.TAKEN
 
 
 def _read_job(body: bytes) -> Job | None:
