--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -18,7 +18,7 @@
     ForwardSubmit,
     OutcomeReply,
 )
-from cyclamentrack.jobs.model import Job, JobId
+from cyclamentrack.jobs.model import Job, JobId, Origin
 from cyclamentrack.jobs.ports import (
     Batch,
     Conflict,
@@ -48,7 +48,8 @@
     ``STORED`` means that the request was stored; ``REFUSED`` that it was not
     and won't be; ``UNKNOWN`` that it may have been; ``NOT_FOUND`` that there is
     no such job; ``IMPOSSIBLE`` that no worker of the pool is large enough for
-    one of its tasks; ``TOO_LARGE`` that no row of the store can hold the job.
+    one of its tasks; ``TOO_LARGE`` that no row of the store can hold the job;
+    ``TAKEN`` that the id is that of another queue's job.
     """
 
     STORED = 'kept'
@@ -57,6 +58,7 @@
     NOT_FOUND = 'gone'
     IMPOSSIBLE = 'impossible'
     TOO_LARGE = 'too large'
+    TAKEN = 'taken'
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
@@ -75,9 +77,9 @@
     return Batch(expected=(Expect(key, 0),), puts=((key, encode(job)),))
 
 
-def cancel_batch(job: JobId) -> Batch:
-    """Return the write that cancels a job."""
-    return Batch(puts=((cancel_key(job), b'1'),))
+def cancel_batch(job: JobId, origin: Origin | None) -> Batch:
+    """Return the write by which a queue cancels its job."""
+    return Batch(puts=((cancel_key(job), encode(origin)),))
 
 
 _UNKNOWN = WriteResult(outcome=RequestOutcome.UNKNOWN)
