--- /dev/null
+++ b/features/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Real node processes between stand-ins of the platform, on loopback."""
--- /dev/null
+++ b/features/processes/scenarios.py
@@ -0,0 +1,40 @@
+"""Single cases on real processes, which the soak's seeds can reach as well."""
+
+import asyncio
+
+from features.processes.cell import Cell
+
+_TASKS = 30
+_WORK_S = 30.0
+_PARTITION_S = 16.0
+_SETTLED_S = 4.0
+
+
+async def partition_owner(workers):
+    """Partition the owner with some workers while a job of 30 tasks runs."""
+    cell = Cell(workers=6)
+    await cell.open()
+    try:
+        await _play(cell, workers)
+        cell.judge.close()
+    finally:
+        await cell.close()
+    return cell
+
+
+async def _play(cell, workers):
+    fields = {'Count': _TASKS, 'Cpu': 2000, 'MemMb': 64, 'EstimateMs': 30000}
+    plan = {'cpu': fields['Cpu'], 'work_s': _WORK_S}
+    job = cell.new_job(name='5c0e7a21d94b36f8', steps=[(fields, plan)])
+    await cell.call(cell.nodes['n0'], 'POST', job)
+    await asyncio.sleep(_SETTLED_S)
+    owner = cell.owner().name
+    names = [worker.name for worker in cell.workers[:workers]]
+    cell.judge.record(f'{owner}, {names} are partitioned')
+    island = cell.links.part([owner, *names])
+    await asyncio.sleep(_PARTITION_S)
+    cell.judge.record('the partition is over')
+    cell.links.heal(island)
+    await asyncio.sleep(_WORK_S + _SETTLED_S)
+    for node in cell.nodes.values():
+        await cell.call(node, 'GET', job)
