Tell a killed node from one that ended by itself in the soak

Its record has SIGTERM at 11.172 s, SIGKILL by the soak at 17.174 s, and the end with -9 at 17.183 s, just after the outage was over: a fault of the stand-in. An end now counts as the soak's own if it has sent SIGKILL to that process; any other is a FAULT as before.

--- a/features/processes/cell.py
+++ b/features/processes/cell.py
@@ -6,6 +6,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -53,6 +54,7 @@
         self.name = name
         self.outages = 0
         self.process = None
+        self._killed = False
         self.front = f'{HOST}:{ports[0]}'
         self.peer_port = ports[1]
         self.client = Client(self.front)
@@ -87,11 +89,12 @@
     async def run(self):
         """Keep the process running, as the platform does."""
         while True:
+            self._killed = False
             await self._start()
             self._cell.judge.record(f'{self.name} runs as {self.process.pid}')
             status = await self.process.wait()
             self._cell.judge.record(f'{self.name} ended with {status}')
-            if not self.outages:
+            if not (self.outages or self._killed):
                 self._cell.judge.breaks(f'FAULT: {self.name} ended by itself')
             while self.outages:
                 await asyncio.sleep(_RESTART_S)
@@ -99,6 +102,7 @@
     def send(self, number):
         """Send the process a signal, if there is one."""
         if self.is_up:
+            self._killed |= number is signal.SIGKILL
             self._cell.judge.record(f'{self.name} gets {number.name}')
             self.process.send_signal(number)
 
