--- a/packages/cyclamentrack/cyclamentrack/jobs/lease_quorum.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/lease_quorum.py
@@ -42,8 +42,9 @@
     """The voters of one slice, as one owner sees them.
 
     ``now`` and all times that are passed in are in seconds of a clock that
-    goes on while the machine is suspended. ``excluded_at`` and the times that
-    are returned are in seconds of trio's clock.
+    goes on while the machine is suspended; ``extensions_end_at`` is in seconds
+    of trio's clock. ``excluded`` is set once half of the voters have left the
+    former owner.
     """
 
     def __init__(
