--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,82 +1,87 @@
-"""The number of waiting jobs of a queue that was moved, during a takeover."""
+"""A job whose cancelling was answered with 410 is started afterwards.
+
+The store is silent for a while. One of the writes that it left unanswered is
+done 5.5 s after it was sent.
+"""
 
 import asyncio
-import signal
 import time
 from pathlib import Path
 
 from common_2 import BOUNDS, TROUBLE, run
 
-from features.processes.cell import PLAIN, POOLS, ROUTES
+from features.processes.store import Store
 
-FIRST, SECOND = POOLS
-# Jobs count from so long after their acceptance on.
-COUNTED_S = BOUNDS['visible_ms'] / 1000 + 2
-DOWN_S = 3.0
-WATCH_S = 8.0
-JOBS = 8
+JOB = '00000000000000d1'
+LATE_S = 5.5
+CANCEL_S = BOUNDS['cancel_ms'] / 1000
+CONTACT_S = BOUNDS['ContactMs'] / 1000
 
 
-async def play(cell):
-    """Play the case; return how the rule was broken."""
-    # Long tasks fill the workers, so that all later jobs wait.
-    await cell.submit(_job(cell, '00000000000000f0', 6, 200.0))
-    await asyncio.sleep(2)
-    jobs = [_job(cell, f'00000000000000a{n}', 1, 1.0) for n in range(JOBS)]
-    for job in jobs:
-        await cell.submit(job)
-    cell.configure({**ROUTES, PLAIN: SECOND})
-    await asyncio.sleep(COUNTED_S + 1)
-    owner = cell.owner(FIRST)
-    cell.judge.record(
-        f'{owner.name} owns {FIRST}, {cell.owner(SECOND).name} owns {SECOND}'
-    )
-    killing = asyncio.create_task(_kill(owner))
-    wrong = await _count(cell, jobs, owner)
-    await killing
-    return [*wrong[:1], *wrong[-1:]]
+class SilentStore(Store):
+    """Answers nothing while ``silent``, and does one write of then late."""
 
+    silent = False
+    unanswered = ()
 
-def _job(cell, name, count, work_s):
-    fields = {
-        'Count': count,
-        'Cpu': 16000,
-        'MemMb': 64,
-        'EstimateMs': 1000 * work_s,
-    }
-    return cell.new_job(
-        name=name, steps=[(fields, {'cpu': 16000, 'work_s': work_s})]
-    )
+    async def _answer(self, request):
+        if not self.silent:
+            return await super()._answer(request)
+        rows = request.body.get('SetKeys', ())
+        if any(row['Key'] == JOB for row in rows):
+            self.unanswered = (time.monotonic(), request)
+            self.judge.record(
+                f'a write of {JOB} by {request.caller} is unanswered'
+            )
+        return None
 
+    async def answer_again(self):
+        """Answer from now on; one unanswered write is still to be done."""
+        self.silent = False
+        self.judge.record('the store answers again')
+        if self.unanswered:
+            asyncio.get_running_loop().create_task(self._write_late())
 
-async def _kill(owner):
-    """Kill a node; it is started again after a while."""
-    if not TROUBLE:
-        return
-    owner.outages += 1
-    owner.send(signal.SIGKILL)
-    await asyncio.sleep(DOWN_S)
-    owner.outages -= 1
+    async def _write_late(self):
+        sent_at, request = self.unanswered
+        await asyncio.sleep(sent_at + LATE_S - time.monotonic())
+        status, _ = await self._transact(request)
+        self.judge.record(
+            f'the write by {request.caller} is done now, '
+            f'{LATE_S} s after it was sent: {status}'
+        )
 
 
-async def _count(cell, jobs, killed):
-    wrong = []
-    until = time.monotonic() + WATCH_S
-    while time.monotonic() < until:
-        for node in cell.nodes.values():
-            if node is killed:
-                continue
-            status, answer = await node.client.call('GET', PLAIN, timeout_s=3)
-            cell.judge.record(f'GET {PLAIN} at {node.name}: {status} {answer}')
-            waiting = sum(not cell.judge.starts[one.tasks[0]] for one in jobs)
-            if status == 200 and 2 * answer['Waiting'] < waiting:
-                wrong.append(
-                    f'MIXED: {node.name} gives Waiting {answer["Waiting"]}, '
-                    f'and {waiting} jobs wait'
-                )
-        await asyncio.sleep(0.05)
-    cell.judge.record(f'{len(wrong)} wrong counts')
-    return wrong
+async def play(cell):
+    """Play the case; return how the rule was broken."""
+    store = cell.store
+    store.judge = cell.judge
+    node = cell.nodes['n0']
+    fields = {'Count': 1, 'Cpu': 100, 'MemMb': 64, 'EstimateMs': 3000}
+    job = cell.new_job(name=JOB, steps=[(fields, {'cpu': 100, 'work_s': 3.0})])
+    if TROUBLE:
+        store.silent = True
+        cell.judge.record('the store is silent')
+    await cell.call(node, 'POST', job)
+    await store.answer_again()
+    stable_from = time.monotonic() + CONTACT_S * TROUBLE
+    status = 0
+    for _ in range(10):
+        status, _ = await cell.call(node, 'DELETE', job)
+        if status in {200, 410}:
+            break
+        await asyncio.sleep(0.1)
+    if status not in {200, 410}:
+        raise RuntimeError(f'the cancel was answered {status}')
+    acknowledged_at = time.monotonic()
+    await asyncio.sleep(12)
+    await cell.shown(job)
+    return [
+        f"UNASKED: {text}, {at - acknowledged_at:.1f} s after the job's "
+        f'cancelling was answered with {status}'
+        for at, text in cell.judge.starts[f'{JOB}.0.0.0']
+        if at > max(acknowledged_at + CANCEL_S, stable_from)
+    ]
 
 
-run(Path(__file__).parent, play, workers=6, annex=2)
+run(Path(__file__).parent, play, workers=6, annex=2, store_type=SilentStore)
