--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""The number of waiting jobs of a queue that was moved, during a takeover."""
+"""The number of waiting jobs of a queue that was moved, during a hand-over."""
 
 import asyncio
 import signal
@@ -31,9 +31,9 @@
     cell.judge.record(
         f'{owner.name} owns {FIRST}, {cell.owner(SECOND).name} owns {SECOND}'
     )
-    killing = asyncio.create_task(_kill(owner))
+    restarting = asyncio.create_task(_restart(owner))
     wrong = await _count(cell, jobs, owner)
-    await killing
+    await restarting
     return [*wrong[:1], *wrong[-1:]]
 
 
@@ -49,22 +49,22 @@
     )
 
 
-async def _kill(owner):
-    """Kill a node; it is started again after a while."""
+async def _restart(owner):
+    """Stop a node in order; it is started again once it has ended."""
     if not TROUBLE:
         return
     owner.outages += 1
-    owner.send(signal.SIGKILL)
+    owner.send(signal.SIGTERM)
     await asyncio.sleep(DOWN_S)
     owner.outages -= 1
 
 
-async def _count(cell, jobs, killed):
+async def _count(cell, jobs, stopped):
     wrong = []
     until = time.monotonic() + WATCH_S
     while time.monotonic() < until:
         for node in cell.nodes.values():
-            if node is killed:
+            if node is stopped:
                 continue
             status, answer = await node.client.call('GET', PLAIN, timeout_s=3)
             cell.judge.record(f'GET {PLAIN} at {node.name}: {status} {answer}')
