--- a/review/6/case.py
+++ b/review/6/case.py
@@ -51,7 +51,7 @@
         """Write the settings file."""
         super().configure(store, advice)
         text = self._file.read_text(encoding='utf-8')
-        text = text.replace('"Ip": "127.0.0.1"', f'"Ip": "{self.ip}"')
+        text = text.replace(f'"Ip": "{cell.HOST}"', f'"Ip": "{self.ip}"')
         self._file.write_text(text, encoding='utf-8')
 
     async def remove(self):
