Serve requests for the client account whose key they carry

Change: the configuration names accounts with keys, a weight and a cap, and queues that are public. A request to any other queue with an unknown, withdrawn or missing key gets 401 at once. A job belongs to its account, under later keys and later owners too; other accounts get 410, and 409 for its id. Without accounts in the configuration nothing changes. Keys aren't logged.

--- a/features/harness/asgi.py
+++ b/features/harness/asgi.py
@@ -24,6 +24,7 @@
     target: str,
     body: bytes = b'',
     host: str = '127.0.0.1',
+    headers: tuple[tuple[bytes, bytes], ...] = (),
 ) -> Reply:
     """Send one request to an application and return its complete reply."""
     path, _, query = target.partition('?')
@@ -49,6 +50,7 @@
         'headers': [
             (b'content-type', b'application/json'),
             (b'host', host.encode()),
+            *headers,
         ],
         'server': ('127.0.0.1', 80),
         'client': ('127.0.0.1', 1),
--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -5,6 +5,7 @@
 
 from cyclamentrack.errors import PeerUnreachableError
 from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.accounts import AccountName
 from cyclamentrack.jobs.cell import CellDependencies, JobCell
 from cyclamentrack.jobs.model import (
     Configuration,
@@ -97,7 +98,7 @@
     def close(self):
         self.loop.close()
 
-    def configure(self, *queues, pools=(POOL,)):
+    def configure(self, *queues, pools=(POOL,), accounts=None):
         """Write the next version of the configuration to the store."""
         self.version += 1
         self.queues = {queue.name: queue for queue in queues}
@@ -106,6 +107,7 @@
             queues=tuple(queues),
             pools=pools,
             max_body_bytes=65536,
+            accounts=accounts,
         )
         self.loop.run(
             self._put,
@@ -191,7 +193,9 @@
         """Id of the next job to be submitted."""
         return JobId(f'{self._jobs + 1:016x}')
 
-    def submit(self, *steps, queue='lookups', node=None, **behaviour):
+    def submit(
+        self, *steps, queue='lookups', node=None, account='', **behaviour
+    ):
         """Submit a job; return its id and the node's answer.
 
         ``behaviour`` sets fields of the ``Behaviour`` of its tasks.
@@ -211,6 +215,7 @@
             steps=tuple(steps),
             accepted_at_s=self.loop.run(self.now),
             terms=self.queues.get(queue) if self.stores_terms else None,
+            account=AccountName(account),
         )
         service = self.services[node or next(iter(self.services))]
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/model.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/model.py
@@ -7,6 +7,13 @@
 import msgspec
 
 from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.accounts import (
+    NO_ACCOUNT,
+    Access,
+    AccountIndex,
+    AccountName,
+    ClientAccount,
+)
 from cyclamentrack.jobs.queue_index import QueueIndex
 from cyclamentrack.resources import Resources
 
@@ -61,7 +68,8 @@
     """One queue, as one version of the configuration defines it.
 
     A job should end within ``target_s`` plus ``stretch`` times the length of
-    its critical path. Priority 0 comes first.
+    its critical path. Priority 0 comes first. Requests to a ``public`` queue
+    need no key of a client account.
     """
 
     name: QueueName
@@ -73,6 +81,7 @@
     stretch: float = 1.0
     target_s: float = 0.0
     permits: PermitPolicy | None = None
+    public: bool = False
 
     @property
     def address(self) -> str:
@@ -81,36 +90,48 @@
 
     @property
     def origin(self) -> 'Origin':
-        """The origin of jobs that the queue accepts now."""
-        return Origin(queue=self.name, address=self.address)
+        """The origin of jobs that the queue accepts of no account."""
+        return self.origin_of(NO_ACCOUNT)
+
+    def origin_of(self, account: AccountName) -> 'Origin':
+        """Return the origin of jobs that the queue accepts of an account."""
+        return Origin(queue=self.name, address=self.address, account=account)
 
 
 class Origin(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """The queue that a job was accepted on, and its address then.
+    """The queue and account that a job was accepted of, and the address then.
 
-    Rows of earlier versions lack the address.
+    Rows of earlier versions lack the address and the account.
     """
 
     queue: QueueName
     address: str = ''
+    account: AccountName = NO_ACCOUNT
 
     def matches(self, other: 'Origin') -> bool:
         """Return whether both are one queue, by its name or its address.
 
-        The configuration may change either of them.
+        The configuration may change either of them. Two different accounts
+        never match; a request of no account may concern any job of its queue.
         """
+        if self.account and other.account and self.account != other.account:
+            return False
         if self.queue == other.queue:
             return True
         return bool(self.address) and self.address == other.address
 
 
 class Configuration(msgspec.Struct, frozen=True, kw_only=True, dict=True):
-    """One version of the configuration; version numbers only increase."""
+    """One version of the configuration; version numbers only increase.
+
+    Without ``accounts``, requests need no keys.
+    """
 
     version: int
     queues: tuple[Queue, ...]
     pools: tuple[PoolName, ...]
     max_body_bytes: int
+    accounts: tuple[ClientAccount, ...] | None = None
 
     @functools.cached_property
     def index(self) -> QueueIndex:
@@ -125,6 +146,23 @@
         """Return a queue by its name, ``None`` if there is none."""
         return self.index.named(name)
 
+    @functools.cached_property
+    def account_index(self) -> AccountIndex:
+        """The accounts by key and by name."""
+        return AccountIndex(self.accounts or ())
+
+    def authenticate(self, queue: Queue, key: str) -> ClientAccount | Access:
+        """Return the account with a key, or why there is none.
+
+        ``key`` is empty if a request has none.
+        """
+        if self.accounts is None:
+            return Access.PUBLIC
+        found = self.account_index.with_key(key)
+        if found is not None:
+            return found
+        return Access.PUBLIC if queue.public else Access.UNKNOWN_KEY
+
 
 class Step(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Tasks with the same requirements that become ready together.
@@ -161,7 +199,7 @@
     A ``repeat`` above zero gives that many occurrences; each is due at the
     Unix time ``start_at_s`` plus its number, from 0, times ``interval_s``.
     ``terms`` is the queue as it was configured at acceptance; rows of earlier
-    versions lack it.
+    versions lack it. ``account`` is empty for jobs of public queues.
     """
 
     id: JobId
@@ -174,11 +212,14 @@
     start_at_s: float = 0.0
     interval_s: float = 0.0
     terms: Queue | None = None
+    account: AccountName = NO_ACCOUNT
 
     @property
     def origin(self) -> Origin:
-        """The queue that the job was accepted on."""
-        return self.terms.origin if self.terms else Origin(queue=self.queue)
+        """The queue and account that the job was accepted of."""
+        if self.terms:
+            return self.terms.origin_of(self.account)
+        return Origin(queue=self.queue, account=self.account)
 
     @property
     def timed(self) -> bool:
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -12,6 +12,7 @@
 
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.accounts import NO_ACCOUNT, AccountName
 from cyclamentrack.jobs.critical_path import (
     CriticalPath,
     PoolCapacity,
@@ -42,18 +43,21 @@
 class Closed(msgspec.Struct, frozen=True, kw_only=True):
     """Record of a job that has ended; its id can't be used again.
 
-    Rows of earlier versions lack the address of its queue.
+    Rows of earlier versions lack the address of its queue and the account.
     """
 
     state: JobState
     queue: QueueName
     closed_at_s: float
     address: str = ''
+    account: AccountName = NO_ACCOUNT
 
     @property
     def origin(self) -> Origin:
-        """The queue that the job was accepted on."""
-        return Origin(queue=self.queue, address=self.address)
+        """The queue and account that the job was accepted of."""
+        return Origin(
+            queue=self.queue, address=self.address, account=self.account
+        )
 
 
 class TaskRow(msgspec.Struct, frozen=True, array_like=True):
@@ -441,6 +445,7 @@
             queue=entry.job.queue,
             closed_at_s=wall_s,
             address=entry.job.origin.address,
+            account=entry.job.account,
         )
 
     def drop(self, entry: JobRun) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -12,6 +12,7 @@
 from cyclamentrack.codec import decode
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.accounts import NO_ACCOUNT, AccountName
 from cyclamentrack.jobs.cell import JobCell
 from cyclamentrack.jobs.fleet import fits_empty_worker
 from cyclamentrack.jobs.messages import (
@@ -113,33 +114,40 @@
         return result.outcome
 
     async def cancel(
-        self, *, queue: Queue, job: JobId, caller_timeout_s: float
+        self,
+        *,
+        queue: Queue,
+        job: JobId,
+        caller_timeout_s: float,
+        account: AccountName = NO_ACCOUNT,
     ) -> RequestOutcome:
         """Cancel a job; ``NOT_FOUND`` means that there is no such job."""
-        shown = await self.show(queue=queue, job=job)
+        shown = await self.show(queue=queue, job=job, account=account)
         if shown.known and shown.state is None:
             return RequestOutcome.NOT_FOUND
         pool = shown.pool or queue.pool
+        origin = queue.origin_of(account)
         result = await self._writer.write_with_retry(
-            cancel_batch(job, queue.origin),
-            ForwardCancel(
-                pool=pool, queue=queue.name, job=job, origin=queue.origin
-            ),
+            cancel_batch(job, origin),
+            ForwardCancel(pool=pool, queue=queue.name, job=job, origin=origin),
             caller_timeout_s=caller_timeout_s,
         )
         if result.outcome is RequestOutcome.STORED:
             self._cell.notify_owner(
-                pool, CancelStored(pool=pool, job=job, origin=queue.origin)
+                pool, CancelStored(pool=pool, job=job, origin=origin)
             )
         return result.outcome
 
-    async def show(self, *, queue: Queue, job: JobId) -> ShownState:
+    async def show(
+        self, *, queue: Queue, job: JobId, account: AccountName = NO_ACCOUNT
+    ) -> ShownState:
         """Return a job's state from its owner, the store or a peer.
 
-        There is no such job if it is another queue's.
+        There is no such job if it is another queue's or another account's.
         """
         shown = await self._find(queue.pool, job)
-        if shown.origin is None or shown.origin.matches(queue.origin):
+        asked = queue.origin_of(account)
+        if shown.origin is None or shown.origin.matches(asked):
             return shown
         return ShownState()
 
