Refuse no queue or key that a newer configuration may name

A node whose last answer of the configuration feed is older than 0.6 of the time within which changes must be in force (ConfigApplyMs) answers 503 instead of 404 or 401; time in which the machine was suspended counts.

--- a/features/harness/wire.py
+++ b/features/harness/wire.py
@@ -18,7 +18,9 @@
     ``'silent'``, it never replies. Paths without an answer get status 404. A
     server that ``closes_after_reply`` doesn't keep a connection for more calls.
     The first ``silent_connections`` get no further replies and stay open, and
-    the calls whose numbers are in ``unanswered_calls`` get none either.
+    the calls whose numbers are in ``unanswered_calls`` get none either. A body
+    is sent in ``parts`` with a pause of ``pause_s`` between them, of which only
+    the first ``sent_parts`` are sent if that is set.
     """
 
     def __init__(self):
@@ -29,6 +31,9 @@
         self.unanswered_calls = set()
         self.closes_after_reply = False
         self.closed = 0
+        self.parts = 1
+        self.pause_s = 0.0
+        self.sent_parts = None
         self.address = ''
         self._started = threading.Event()
         self._token = None
@@ -83,12 +88,21 @@
             if answer is None:
                 await stream.aclose()
                 return
-            await stream.send_all(_response(*answer))
+            await self._send(stream, _response(*answer))
             if self.closes_after_reply:
                 await stream.aclose()
                 self.closed += 1
                 return
 
+    async def _send(self, stream, response):
+        size = -(-len(response) // self.parts)
+        for number, start in enumerate(range(0, len(response), size)):
+            if number == self.sent_parts:
+                await trio.sleep_forever()
+            if number:
+                await trio.sleep(self.pause_s)
+            await stream.send_all(response[start : start + size])
+
     async def _read_request(self, stream, buffer):
         while b'\r\n\r\n' not in buffer:
             chunk = await stream.receive_some(_READ_BYTES)
--- a/features/platform/accounts.feature
+++ b/features/platform/accounts.feature
@@ -76,3 +76,16 @@
     Given the configuration names no accounts
     When a caller with the key "none" sends POST "/lookups/00000000000000ac"
     Then the caller gets status 200
+
+  Scenario Outline: A node that can't know the newest configuration refuses <what> with <status>
+    Given the store refuses the calls of the first node
+    And <age> seconds go by
+    When a caller with the key "<key>" sends POST "<target>"
+    Then the caller gets status <status>
+
+    Examples:
+      | what           | key     | target                    | age | status |
+      | a route        | n1      | /other/00000000000000ac   | 3   | 503    |
+      | a key          | unknown | /lookups/00000000000000ac | 3   | 503    |
+      | a recent route | n1      | /other/00000000000000ac   | 0   | 404    |
+      | a recent key   | unknown | /lookups/00000000000000ac | 0   | 401    |
--- a/features/platform/http.feature
+++ b/features/platform/http.feature
@@ -52,3 +52,13 @@
   Scenario: The daemon's idle connections that have all gone silent cost one lost call
     Given the daemon's client of a table service with 6 idle connections
     Then at most 1 scan is lost after all connections have gone silent
+
+  Scenario: A reply that arrives for longer than the timeout is read whole
+    Given a client of 3 connections to a platform that never answers "/hold"
+    And the platform sends replies in 6 parts that are 0.1 seconds apart
+    Then a call with a timeout of 0.25 seconds gets the whole reply
+
+  Scenario: A reply that stops arriving is given up
+    Given a client of 3 connections to a platform that never answers "/hold"
+    And the platform stops after 2 of 6 parts that are 0.1 seconds apart
+    Then a call with a timeout of 0.25 seconds gets no answer
--- a/features/steps/account_steps.py
+++ b/features/steps/account_steps.py
@@ -66,3 +66,8 @@
 @then('the answer has a "{name}" header of "{text}"')
 def check_header(context, name, text):
     assert context.reply.headers.get(name) == text, context.reply.headers
+
+
+@given('the store refuses the calls of the first node')
+def refuse_first(context):
+    context.jobs.rows.refused_nodes.add(next(iter(context.jobs.services)))
--- a/features/steps/client_steps.py
+++ b/features/steps/client_steps.py
@@ -18,6 +18,7 @@
 _SHORT_TIMEOUT_S = 0.05
 _LOST_S = 1.0
 _LAPS = 3
+_LARGE_BYTES = 3000
 
 
 @given(
@@ -263,3 +264,47 @@
         await table.scan(prefix='', limit=1, after='')
         return True
     return False
+
+
+@given(
+    'the platform sends replies in {parts:d} parts '
+    'that are {pause:g} seconds apart'
+)
+def send_in_parts(context, parts, pause):
+    wire = context.wire
+    wire.answers['/a'] = (200, b'x' * _LARGE_BYTES)
+    wire.parts = parts
+    wire.pause_s = pause
+
+
+@given(
+    'the platform stops after {sent:d} of {parts:d} parts '
+    'that are {pause:g} seconds apart'
+)
+def stop_sending(context, sent, parts, pause):
+    send_in_parts(context, parts, pause)
+    context.wire.sent_parts = sent
+
+
+@then('a call with a timeout of {limit:g} seconds gets the whole reply')
+def check_whole(context, limit):
+    async def main():
+        client = context.make()
+        reply = await client.call('POST', '/a', body={}, timeout_s=limit)
+        assert len(reply.body) == _LARGE_BYTES, len(reply.body)
+        await client.close()
+
+    trio.run(main)
+
+
+@then('a call with a timeout of {limit:g} seconds gets no answer')
+def check_no_answer(context, limit):
+    async def main():
+        client = context.make()
+        try:
+            await client.call('POST', '/a', body={}, timeout_s=limit)
+        except NoAnswerError:
+            return
+        raise AssertionError('the call was answered')
+
+    trio.run(main)
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -72,6 +72,9 @@
 # A change on a dead connection is noticed only after this wait, and a new
 # configuration must be in force within two seconds.
 _CONFIGURATION_WAIT_S = 0.7
+# Share of the time within which a change must be in force, for which a node
+# relies on its last answer. The rest is for what it does with that.
+_CONFIGURATION_AGE_SHARE = 0.6
 _MEMBERS_WAIT_S = 4.0
 _RETRY_S = 0.2
 _HAND_OVER_TIMEOUT_S = 1.5
@@ -143,7 +146,9 @@
         self.owners: dict[PoolName, SliceOwner] = {}
         self.members: dict[str, Member] = {}
         self.lease_tracker = LeaseTracker(store=dependencies.store)
-        self.configuration_feed = FeedHealth(name='configuration')
+        self.configuration_feed = FeedHealth(
+            name='configuration', suspended_s=dependencies.suspended_s
+        )
         self.members_feed = FeedHealth(name='members')
         self.leaving = False
         self._member_row = MemberRow(store=dependencies.store, member=me)
@@ -187,6 +192,15 @@
             return None
         return seen.lease.address or None
 
+    @property
+    def configuration_is_current(self) -> bool:
+        """Whether no newer version can have to be in force here already."""
+        age_s = self.configuration_feed.age_s
+        limit_s = (
+            _CONFIGURATION_AGE_SHARE * self.dependencies.timings.configuration_s
+        )
+        return age_s is not None and age_s < limit_s
+
     def pools_without_owner(self) -> list[PoolName]:
         """Return the pools without an owner known to be alive."""
         if self.configuration is None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
@@ -1,6 +1,7 @@
 """Health of the change feeds that a node follows in the store."""
 
 import logging
+from collections.abc import Callable
 
 import trio
 
@@ -11,12 +12,17 @@
     """Whether the store answers a feed, and when it did so last.
 
     The first failure in a row and the answer that ends it are logged. Times
-    are in seconds of trio's clock.
+    are in seconds of trio's clock; the age also counts the time in which the
+    machine was suspended, which ``suspended_s`` returns.
     """
 
-    def __init__(self, *, name: str) -> None:
+    def __init__(
+        self, *, name: str, suspended_s: Callable[[], float] = float
+    ) -> None:
         """Start as a feed that was never answered."""
         self._name = name
+        self._suspended_s = suspended_s
+        self._suspended_before_s = 0.0
         self._answered_at: float | None = None
         self._lost_at: float | None = None
         self._failures = 0
@@ -26,11 +32,13 @@
         """Seconds since the last answer, ``None`` before the first one."""
         if self._answered_at is None:
             return None
-        return trio.current_time() - self._answered_at
+        suspended_s = self._suspended_s() - self._suspended_before_s
+        return trio.current_time() - self._answered_at + suspended_s
 
     def note_answer(self) -> None:
         """Record an answer, including one without changes."""
         self._answered_at = trio.current_time()
+        self._suspended_before_s = self._suspended_s()
         if self._lost_at is None:
             return
         _log.info(
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -333,9 +333,11 @@
 
     ``worker_lease_s`` is the length of a worker's lease, ``drain_s`` how
     long a draining worker lets its runs continue, and ``status_s`` how long
-    callers may ask for the state of a closed job.
+    callers may ask for the state of a closed job. A change of the
+    configuration must be in force everywhere within ``configuration_s``.
     """
 
     worker_lease_s: float
     drain_s: float
     status_s: float
+    configuration_s: float = 2.0
--- a/packages/cyclamentrack/cyclamentrack/timeouts.py
+++ b/packages/cyclamentrack/cyclamentrack/timeouts.py
@@ -21,9 +21,19 @@
 _LOG_INTERVAL_S = 1.0
 
 
-class _Wait(msgspec.Struct, kw_only=True, eq=False):
+class TimeLimit(msgspec.Struct, kw_only=True, eq=False):
+    """The limit of one wait: when it ends in running time, and its scope."""
+
     scope: trio.CancelScope
     until: float
+    timeouts: 'LagAwareTimeouts'
+
+    def extend(self, seconds: float) -> None:
+        """Let the wait last for ``seconds`` from now at least."""
+        self.until = max(self.until, self.timeouts.running_s + seconds)
+        self.scope.deadline = max(
+            self.scope.deadline, self.timeouts.deadline(seconds)
+        )
 
 
 class LagAwareTimeouts:
@@ -34,10 +44,10 @@
     """
 
     def __init__(self) -> None:
-        """Start with no lag measured."""
-        self._running_s = 0.0
+        """Start with no lag measured; ``running_s`` is the running time."""
+        self.running_s = 0.0
         self._running = False
-        self._active_waits: set[_Wait] = set()
+        self._active_waits: set[TimeLimit] = set()
         self._lags: deque[float] = deque(maxlen=_RECENT_TICKS)
         self._logged_at = 0.0
 
@@ -61,28 +71,31 @@
             self._running = False
 
     @contextmanager
-    def limit(self, seconds: float) -> Generator[trio.CancelScope]:
+    def limit(self, seconds: float) -> Generator[TimeLimit]:
         """Cancel the body once the loop has run for ``seconds`` in it."""
-        stretch_s = _MAX_STRETCH_S if self._running else 0.0
-        wait = _Wait(
-            scope=trio.CancelScope(
-                deadline=trio.current_time() + seconds + stretch_s,
-            ),
-            until=self._running_s + seconds,
+        wait = TimeLimit(
+            scope=trio.CancelScope(deadline=self.deadline(seconds)),
+            until=self.running_s + seconds,
+            timeouts=self,
         )
         self._active_waits.add(wait)
         try:
             with wait.scope:
-                yield wait.scope
+                yield wait
         finally:
             self._active_waits.discard(wait)
 
+    def deadline(self, seconds: float) -> float:
+        """Return when ``seconds`` of running time have passed for certain."""
+        stretch_s = _MAX_STRETCH_S if self._running else 0.0
+        return trio.current_time() + seconds + stretch_s
+
     def _tick(self, elapsed_s: float) -> None:
-        self._running_s += min(elapsed_s, _TICK_S)
+        self.running_s += min(elapsed_s, _TICK_S)
         self._lags.append(max(elapsed_s - _TICK_S, 0.0))
         self._log_lag()
         for wait in self._active_waits:
-            if wait.until <= self._running_s:
+            if wait.until <= self.running_s:
                 wait.scope.cancel()
 
     def _log_lag(self) -> None:
