Count a start that a crash left unanswered like a run that had begun

Cause: a run counted towards its task's crashes only if it was known to have begun. If the worker crashed before it answered and came back under its id, the run was barred and the task started again without end.

Change: if an incarnation of a worker ends while a start that may have reached it has no answer, the run counts like one that had just begun, whichever owner or id learns of it. A run that had worked before another one came isn't given up for that crash, nor is any task where several jobs explain it equally; suspected tasks are isolated also if their job is neglected. A draining incarnation has not crashed.

A row of features/decisions/crashes.feature said that a run that was never confirmed adds 1 to the suspicion and no crash. It mixed two cases: one that was sent now adds 2 and a crash, one that was never sent adds nothing.

--- a/features/decisions/crashes.feature
+++ b/features/decisions/crashes.feature
@@ -10,7 +10,43 @@
       | what                     | confirmed | suspicion | crashes |
       | had just begun           | 99.5      | 2         | 1       |
       | had worked for a while   | 95        | 1         | 1       |
-      | was never confirmed      | 0         | 1         | 0       |
+      | was sent, unanswered     | 0         | 2         | 1       |
+
+  Scenario: A run whose start was never sent has crashed no worker
+    Given a crashed worker that last answered at 100 seconds
+    And a run on it that was never sent
+    When the crash is put down to its runs
+    Then its task has suspicion 0 and 0 crashes
+
+  Scenario: A run counts as just begun if its owner hasn't heard of the worker
+    Given a crashed worker that never answered its owner
+    And a run on it that was confirmed at 0 seconds
+    When the crash is put down to its runs
+    Then its task has suspicion 2 and 1 crashes
+
+  Scenario: A run that had worked before another one came isn't given up for it
+    Given a crashed worker that last answered at 100 seconds
+    And a run on it that was confirmed at 99.2 seconds of a task with suspicion 3
+    And a run on it of another job that was placed at 99.8 seconds, unanswered
+    When the crash is put down to its runs
+    Then these are the suspicions: "4, 2"
+    And no task is given up
+
+  Scenario: Of several jobs that may have caused a crash none is given up
+    Given a crashed worker that last answered at 100 seconds
+    And a run on it that was confirmed at 99.9 seconds of a task with suspicion 2
+    And a run on it of another job with suspicion 2, unanswered
+    When the crash is put down to its runs
+    Then these are the suspicions: "4, 4"
+    And no task is given up
+
+  Scenario: The run that is suspected most is given up beside others
+    Given a crashed worker that last answered at 100 seconds
+    And a run on it that was confirmed at 99.9 seconds of a task with suspicion 2
+    And a run on it of another job with suspicion 0, unanswered
+    When the crash is put down to its runs
+    Then these are the suspicions: "4, 2"
+    And the first task is given up
 
   Scenario: An isolated run explains a crash alone
     Given a crashed worker that last answered at 100 seconds
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -14,7 +14,7 @@
     When a job of 4 tasks is submitted whose task 0 crashes its workers unanswered
     And 40 seconds go by
     Then the job is shown as "failed" by every node
-    And task 0 of the job was started 5 times at most
+    And task 0 of the job was started 2 times at most
 
   Scenario: A member of a gang that crashes its workers is given up with the gang
     When a gang of 3 tasks is submitted whose task 1 crashes its workers
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -12,6 +12,8 @@
 from cyclamentrack.jobs.model import JobId, TaskName
 from cyclamentrack.jobs.registry import Phase, Placement, TaskRun
 
+_OTHER_JOB = '00000000000000bb'
+
 
 @given('a crashed worker that last answered at {seconds:g} seconds')
 def begin_crash(context, seconds):
@@ -19,18 +21,35 @@
     context.runs = []
 
 
-def _add_run(context, confirmed, *, isolated=False, suspicion=0):
-    name = TaskName(JobId('00000000000000aa'), 0, 0, len(context.runs))
+@given('a crashed worker that never answered its owner')
+def begin_unknown_crash(context):
+    context.heard_at = None
+    context.runs = []
+
+
+def _add_run(
+    context,
+    confirmed,
+    *,
+    isolated=False,
+    suspicion=0,
+    job='00000000000000aa',
+    since=99.0,
+    sent=True,
+):
+    name = TaskName(JobId(job), 0, 0, len(context.runs))
+    crashes = suspicion // 2
     run = CrashedRun(
-        task=TaskRun(name=name, suspicion=suspicion),
+        task=TaskRun(name=name, suspicion=suspicion, crashes=crashes),
         placement=Placement(
             task=name,
             run=1,
             worker=WorkerId('w'),
             incarnation=1,
             phase=Phase.RUNNING if confirmed else Phase.STARTING,
-            since=99.0,
+            since=since,
             confirmed_at=confirmed,
+            sent=sent,
         ),
         isolated=isolated,
     )
@@ -55,9 +74,37 @@
     _add_run(context, confirmed, suspicion=suspicion)
 
 
+@given('a run on it that was never sent')
+def add_unsent_run(context):
+    _add_run(context, 0, sent=False)
+
+
+@given(
+    'a run on it of another job that was placed at {since:g} seconds, '
+    'unanswered'
+)
+def add_newcomer(context, since):
+    _add_run(context, 0, job=_OTHER_JOB, since=since)
+
+
+@given('a run on it of another job with suspicion {suspicion:d}, unanswered')
+def add_other_job(context, suspicion):
+    _add_run(context, 0, job=_OTHER_JOB, suspicion=suspicion)
+
+
 @when('the crash is put down to its runs')
 def put_down(context):
-    suspect(context.runs, heard_at=context.heard_at)
+    context.given_up = suspect(context.runs, heard_at=context.heard_at)
+
+
+@then('no task is given up')
+def check_none_given_up(context):
+    assert not context.given_up, context.given_up
+
+
+@then('the first task is given up')
+def check_first_given_up(context):
+    assert context.given_up == [context.runs[0].task], context.given_up
 
 
 @then('its task has suspicion {suspicion:d} and {crashes:d} crashes')
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -3,13 +3,16 @@
 import trio
 from behave import given, then, when
 
-from cyclamentrack.jobs.model import JobState
+from cyclamentrack.jobs.model import JobState, WorkerState
 from cyclamentrack.jobs.ports import RowKey
 from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import make_step
 
 _POLL_S = 0.1
 _FIRST_REPLACEMENT = 100
+# An owner learns of a worker's new entry within this time.
+_DRAINED_S = 0.4
+_MAX_START_POLLS = 100
 
 
 @given('crashed workers are replaced after {seconds:g} seconds')
@@ -38,6 +41,33 @@
     world.loop.run(begin)
 
 
+@given('crashed workers begin again under their ids after {seconds:g} seconds')
+def restart_crashed(context, seconds):
+    world = context.jobs
+    context.others = []
+    down = set()
+
+    async def restart(worker):
+        await trio.sleep(seconds)
+        worker.crash(incarnation=worker.entry.incarnation + 1)
+        worker.disconnected = False
+        world.restore_worker_entry(worker.entry.id)
+        down.remove(worker.entry.id)
+
+    async def watch():
+        while True:
+            await trio.sleep(_POLL_S)
+            for worker in world.workers.workers.values():
+                if worker.disconnected and worker.entry.id not in down:
+                    down.add(worker.entry.id)
+                    world.loop.nursery.start_soon(restart, worker)
+
+    async def begin():
+        world.loop.nursery.start_soon(watch)
+
+    world.loop.run(begin)
+
+
 def _key(entry):
     return RowKey('servers', '', entry.id)
 
@@ -95,6 +125,36 @@
     world.loop.sleep(seconds)
 
 
+@when(
+    'each of its workers drains and ends soon after its start, {times:d} times'
+)
+def drain_often(context, times):
+    world = context.jobs
+    for _ in range(times):
+        for _ in range(_MAX_START_POLLS):
+            if _busy_worker(world) is not None:
+                break
+            world.loop.sleep(_POLL_S)
+        _drain_and_end(world, _busy_worker(world))
+
+
+def _drain_and_end(world, worker):
+    number = int(worker.entry.id.removeprefix('w'))
+    incarnation = worker.entry.incarnation
+    world.add_worker(
+        number, state=WorkerState.DRAINING, incarnation=incarnation
+    )
+    world.loop.sleep(_DRAINED_S)
+    world.add_worker(number, incarnation=incarnation)
+    worker.vanish()
+    world.loop.sleep(2 * _POLL_S)
+
+
+def _busy_worker(world):
+    workers = world.workers.workers.values()
+    return next((worker for worker in workers if worker.runs), None)
+
+
 @then('task {index:d} of the job was started {times:d} times at most')
 def check_starts(context, index, times):
     starts = [
--- a/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
@@ -2,9 +2,12 @@
 
 A crash ends all runs of a worker, and most of them have nothing to do with it.
 So each run is only suspected: more if it had just begun, and alone if it was
-isolated. A suspected task is next started in isolation, on a worker that gets
-no other run until it has worked for a while. A task that is suspected enough is
-given up with its job, before it takes down one worker after the other.
+isolated. A start without an answer counts as a run that had just begun, since
+the worker may have crashed before it answered. A suspected task is next started
+in isolation, on a worker that gets no other run until it has worked for a
+while. A task that is suspected enough is given up with its job, before it takes
+down one worker after the other, but not while a run of another job explains the
+crash as well.
 """
 
 from collections.abc import Iterable
@@ -25,8 +28,7 @@
 # Two crashes by runs that had just begun, or four by other ones.
 _GIVE_UP_SUSPICION = 4
 _GIVE_UP_CRASHES = 2
-# Runs whose start wasn't answered may not have begun, but hardly this many on
-# workers that all crashed.
+# Rows of earlier versions have suspicion by unanswered starts without a crash.
 _CERTAIN_SUSPICION = 5
 
 
@@ -55,24 +57,76 @@
     return 0 < placement.confirmed_at <= now - _ISOLATION_S
 
 
-def suspect(runs: Iterable[CrashedRun], *, heard_at: float | None) -> None:
-    """Raise the suspicion of the runs of one crashed worker.
+def clear(task: TaskRun, placement: Placement, now: float) -> bool:
+    """Clear a task whose run has worked for long; return whether that changed.
+
+    A later crash has another cause, also for an owner that doesn't know how
+    long the run has worked.
+    """
+    confirmed_at = placement.confirmed_at
+    worked_long = 0 < confirmed_at < now - _CLEARED_AFTER_S
+    if not worked_long or not (task.suspicion or task.crashes):
+        return False
+    task.suspicion = 0
+    task.crashes = 0
+    return True
+
+
+def suspect(
+    runs: Iterable[CrashedRun], *, heard_at: float | None
+) -> list[TaskRun]:
+    """Raise the suspicion of one crashed worker's runs; return the hopeless.
 
     ``heard_at`` is the steady time of its last answer, or ``None`` if it never
     answered this owner. Isolated runs explain the crash, so that only these
-    are suspected.
+    are suspected. A run that wasn't sent can't have caused it.
     """
-    crashed = list(runs)
-    isolated = [run for run in crashed if run.isolated]
-    for run in isolated or crashed:
+    crashed = [
+        run for run in runs if run.placement.sent or run.placement.confirmed_at
+    ]
+    crashed = [run for run in crashed if run.isolated] or crashed
+    newcomer_at = max(
+        (
+            run.placement.since
+            for run in crashed
+            if _had_just_begun(run.placement, heard_at)
+        ),
+        default=0.0,
+    )
+    causes: list[TaskRun] = []
+    for run in crashed:
         task = run.task
         confirmed_at = run.placement.confirmed_at
-        if not confirmed_at or heard_at is None:
-            task.suspicion += _OTHER_SUSPICION
-        elif confirmed_at < heard_at - _CLEARED_AFTER_S:
+        if heard_at and 0 < confirmed_at < heard_at - _CLEARED_AFTER_S:
             task.suspicion = 0
             task.crashes = 0
-        else:
-            task.crashes += 1
-            recent = confirmed_at > heard_at - _RECENT_START_S
-            task.suspicion += _RECENT_SUSPICION if recent else _OTHER_SUSPICION
+            continue
+        # A run that had worked before another one came hardly is the cause.
+        settled = has_worked(run.placement, newcomer_at)
+        recent = _had_just_begun(run.placement, heard_at) and not settled
+        task.crashes += 1
+        task.suspicion += _RECENT_SUSPICION if recent else _OTHER_SUSPICION
+        if not settled:
+            causes.append(task)
+    return _hopeless(causes)
+
+
+def _had_just_begun(placement: Placement, heard_at: float | None) -> bool:
+    """Return whether a run may have crashed its worker by starting."""
+    confirmed_at = placement.confirmed_at
+    if not confirmed_at or heard_at is None:
+        return True
+    return confirmed_at > heard_at - _RECENT_START_S
+
+
+def _hopeless(causes: list[TaskRun]) -> list[TaskRun]:
+    """Return the tasks to give up among those that may have caused a crash.
+
+    If tasks of several jobs are suspected most, only one may be the cause.
+    Each of them is isolated at its next start, which tells them apart.
+    """
+    most = max((task.suspicion for task in causes), default=0)
+    found = [task for task in causes if task.suspicion == most]
+    if len({task.name.job for task in found}) > 1:
+        return []
+    return [task for task in found if is_hopeless(task)]
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -135,7 +135,7 @@
         tasks = tasks[: state.starts_left]
         suspected = [task for task in tasks if state.must_isolate(step, task)]
         if suspected:
-            alone = suspected[: state.may_isolate]
+            alone = suspected[: state.may_isolate(step)]
             chosen = place_isolated(step, alone, allowed)
             self._assign(step, chosen, state, isolated=True)
             tasks = [task for task in tasks if task not in suspected]
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -47,7 +47,9 @@
     Times are steady seconds except ``clock_ms``, which is on the worker's
     clock. ``slowness`` is the ratio of the time that runs take on this worker
     to their typical time. A refused or closed connection makes the worker
-    ``disconnected`` until its next answer. ``lost_runs`` are those that were
+    ``disconnected`` until its next answer. It is ``silent`` while the last poll
+    of it has no answer, and ``leaving`` is the last incarnation of which an
+    entry said that it drains. ``lost_runs`` are those that were
     given up when its lease had ended without an answer. ``processed`` and
     ``acknowledged`` are the numbers of the last end of this incarnation that
     was processed, and of the last one whose effects are stored.
@@ -69,6 +71,8 @@
     lease_sent_at: float = 0.0
     heard_at: float = 0.0
     disconnected: bool = False
+    silent: bool = False
+    leaving: int = 0
     failures: int = 0
     quarantined_until: float = 0.0
     retired: bool = False
@@ -164,6 +168,7 @@
         self.clock_at = now
         self.heard_at = now
         self.disconnected = False
+        self.silent = False
 
     def lease_until_ms(
         self, *, now: float, lease_s: float, overdue_s: float
@@ -208,6 +213,17 @@
         self.probe_run = None
 
 
+def _successor(former: Worker | None, entry: WorkerEntry) -> Worker:
+    """Return a new worker; it may have lost the runs of a retired one."""
+    if former is None:
+        return Worker(entry=entry)
+    return Worker(
+        entry=entry,
+        leaving=former.leaving,
+        lost_runs=former.take_lost_runs(),
+    )
+
+
 def lease_end(*, sent_at: float, lease_s: float) -> float:
     """Return the time at which a lease that was sent has certainly ended."""
     return sent_at + lease_s * _CLOCK_SLACK + _LEASE_MARGIN_S
@@ -294,8 +310,10 @@
         self._capacities = None
         worker = self.workers.get(entry.id)
         if worker is None or worker.retired:
-            worker = Worker(entry=entry)
+            worker = _successor(worker, entry)
             self.workers[entry.id] = worker
+        if entry.state is WorkerState.DRAINING:
+            worker.leaving = entry.incarnation
         worker.entry = entry
         worker.listed = True
         if len(self._shapes) < MAX_SHAPES:
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -71,6 +71,7 @@
                 )
                 return
             owner.fleet.note_unanswered(trio.current_time())
+            placement.unanswered += 1
             owner.metrics.count('starts_unanswered')
             attempts += 1
             if attempts == _MAX_ATTEMPTS:
@@ -168,7 +169,7 @@
         )
         if answer is StartAnswer.BUSY:
             quarantine_worker(worker, now, why='busy')
-        if earlier_unanswered and answer is not StartAnswer.OTHER_INCARNATION:
+        if earlier_unanswered:
             self._owner.stop_run(placement)
         else:
             self._owner.handle_lost_run(
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -81,8 +81,14 @@
     tasks: list[TaskRun],
     allowed: list[Worker],
 ) -> list[tuple[TaskRun, Worker]]:
-    """Choose a worker of its own for each task, with few runs if possible."""
-    workers = sorted(allowed, key=lambda worker: len(worker.charges))
+    """Choose a worker of its own for each task, with few runs if possible.
+
+    A silent worker comes last: if it has crashed already, the task would be
+    suspected of another crash.
+    """
+    workers = sorted(
+        allowed, key=lambda worker: (worker.silent, len(worker.charges))
+    )
     need = charge(step.step)
     fitting = [worker for worker in workers if need.fits(worker.free)]
     return list(zip(tasks, fitting, strict=False))
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -14,7 +14,7 @@
 
 from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName, WorkerId
-from cyclamentrack.jobs.crashes import CrashedRun, is_hopeless, suspect
+from cyclamentrack.jobs.crashes import CrashedRun, suspect
 from cyclamentrack.jobs.dispatch import Dispatcher
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
@@ -280,22 +280,22 @@
         self, runs: list[CrashedRun], *, heard_at: float | None
     ) -> None:
         """Give up the jobs whose tasks keep crashing their workers."""
-        suspect(runs, heard_at=heard_at)
+        hopeless = suspect(runs, heard_at=heard_at)
         for run in runs:
             step = self.registry.step_of(run.task.name)
             if step is not None:
                 self.record_tasks(step, [run.task])
-            entry = self.registry.jobs.get(run.task.name.job)
+        for task in hopeless:
+            entry = self.registry.jobs.get(task.name.job)
             if entry is None or entry.state is not None:
                 continue
-            if is_hopeless(run.task):
-                _log.warning(
-                    'job given up job=%s task=%s why=its workers crash',
-                    entry.job.id,
-                    run.task.name,
-                )
-                self.metrics.count('jobs_given_up')
-                self.close(entry, JobState.FAILED)
+            _log.warning(
+                'job given up job=%s task=%s why=its workers crash',
+                entry.job.id,
+                task.name,
+            )
+            self.metrics.count('jobs_given_up')
+            self.close(entry, JobState.FAILED)
 
     def note_start_answer(
         self, placement: Placement, answer: StartAnswer
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -92,7 +92,8 @@
     worker's clock. ``percent`` is the progress, ``pace`` the speed of a
     best-effort run in percent, which is being ordered while ``pacing``, and
     ``reading`` the tail response time of a serving run in milliseconds.
-    ``sent`` is set once a start order may have reached the worker.
+    ``sent`` is set once a start order may have reached the worker, and
+    ``unanswered`` counts the orders to start without an answer.
     """
 
     task: TaskName
@@ -104,6 +105,7 @@
     instance: InstanceId = InstanceId('')
     permit: str = ''
     sent: bool = False
+    unanswered: int = 0
     lease_until_ms: int | None = None
     confirmed_at: float = 0.0
     percent: float = 0.0
@@ -119,7 +121,7 @@
 class TaskRun(msgspec.Struct, kw_only=True, eq=False):
     """One task: the number of its runs so far and its current placement.
 
-    ``crashes`` counts the workers that crashed while it certainly ran there,
+    ``crashes`` counts the workers that crashed while it ran or started there,
     and ``suspicion`` rises with each crash that it may have caused.
     """
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -231,15 +231,17 @@
     def must_isolate(self, step: StepRun, task: TaskRun) -> bool:
         """Return whether a task must have a worker of its own at its start.
 
-        A gang's members start together, and a neglected job must start.
+        A gang's members start together.
         """
-        if step.step.gang or not is_suspected(task):
-            return False
-        return not self.neglected(step)
+        return not step.step.gang and is_suspected(task)
 
-    @property
-    def may_isolate(self) -> int:
-        """How many more workers may get an isolated run now."""
+    def may_isolate(self, step: StepRun) -> int:
+        """Return how many more workers may get an isolated run of a step now.
+
+        A neglected job must start, however many workers have such runs.
+        """
+        if self.neglected(step):
+            return len(self.usable)
         return max(self._max_isolated - self._isolated, 0)
 
     def placeable_tasks(self, ready: ReadyStep) -> list[TaskRun]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -4,13 +4,14 @@
 
 import logging
 import math
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import trio
 
 from cyclamentrack.errors import WorkerUnreachableError
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.crashes import CrashedRun
+from cyclamentrack.jobs.crashes import CrashedRun, clear
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.model import TaskName, WorkerState
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
@@ -160,6 +161,7 @@
         if not self._unanswered:
             self._owner.fleet.note_unanswered(now)
         self._unanswered += 1
+        worker.silent = True
         if self._leases_expired(now):
             self._drop_all_runs('its lease has expired')
             worker.clock_ms = None
@@ -218,7 +220,8 @@
         """Drop the runs that ended with the worker's earlier incarnation.
 
         Orders were still sent while its restart wasn't known. A run that the
-        new incarnation may have started from them is kept.
+        new incarnation may have started from them is kept, but it counts as
+        crashed if the earlier one may have started it too.
         """
         worker = self._worker
         former = [
@@ -237,8 +240,21 @@
         worker.failures = 0
         # Leases sent meanwhile were for the clock of the earlier incarnation.
         worker.lease_sent_at = max(worker.lease_sent_at, trio.current_time())
+        uncertain = [
+            placement
+            for placement in former
+            if placement not in lost and _may_have_crashed(placement, report)
+        ]
+        given_up = [
+            placement
+            for placement in worker.take_lost_runs()
+            if placement.incarnation != report.incarnation
+        ]
         self._handle_crash(
-            worker, [*worker.take_lost_runs(), *lost], 'its worker restarted'
+            worker,
+            [*given_up, *lost],
+            'its worker restarted',
+            kept=uncertain,
         )
         if worker.contacted:
             _log.info(
@@ -307,12 +323,18 @@
             self._handle_crash(former, runs, 'its instance runs another worker')
 
     def _handle_crash(
-        self, worker: Worker | None, runs: list[Placement], why: str
+        self,
+        worker: Worker | None,
+        runs: list[Placement],
+        why: str,
+        *,
+        kept: Sequence[Placement] = (),
     ) -> None:
         """Drop the runs of a worker that is certain to have ended.
 
-        A worker that was leaving has not crashed, and ``None`` stands for one
-        that this owner has not known.
+        Those that are ``kept`` may have ended with it. A worker that was
+        leaving has not crashed, and ``None`` stands for one that this owner
+        has not known.
         """
         crashed = [
             CrashedRun(
@@ -321,15 +343,17 @@
                 isolated=worker is not None
                 and worker.isolated_run == (run.task, run.run),
             )
-            for run in runs
-            if (task := self._owner.registry.task(run.task)) and not task.done
+            for run in (*runs, *kept)
+            if (task := self._owner.registry.task(run.task))
+            and not task.done
+            and (worker is None or worker.leaving != run.incarnation)
         ]
         for run in runs:
             self._owner.handle_lost_run(run, why=why)
-        if worker is None or not worker.contacted:
-            self._owner.handle_crash(crashed, heard_at=None)
-        elif worker.entry.state is WorkerState.READY:
-            self._owner.handle_crash(crashed, heard_at=worker.heard_at)
+        heard = worker is not None and worker.contacted
+        self._owner.handle_crash(
+            crashed, heard_at=worker.heard_at if worker and heard else None
+        )
 
     def _apply_runs(self, report: PollReport, sent_at: float) -> None:
         seen: set[tuple[TaskName, int]] = set()
@@ -429,6 +453,7 @@
             if step is None or placement.stopping:
                 continue
             if placement.phase is Phase.RUNNING:
+                self._clear_suspicion(placement, step, now)
                 self._check_run(placement, step, now)
                 found = measure_slowdown(
                     placement,
@@ -464,6 +489,13 @@
             else:
                 quarantine_worker(self._worker, now, why='slow')
 
+    def _clear_suspicion(
+        self, placement: Placement, step: StepRun, now: float
+    ) -> None:
+        task = self._owner.registry.task(placement.task)
+        if task is not None and clear(task, placement, now):
+            self._owner.record_tasks(step, [task])
+
     def _check_run(
         self, placement: Placement, step: StepRun, now: float
     ) -> None:
@@ -589,6 +621,17 @@
             self._move_run(placement, step, 'its worker is draining')
 
 
+def _may_have_crashed(placement: Placement, report: PollReport) -> bool:
+    """Return whether a worker that restarted may have had an unanswered start.
+
+    A run that the new incarnation lists from the only order to start it can't
+    have begun in the earlier one.
+    """
+    if placement.phase is not Phase.STARTING or not placement.sent:
+        return False
+    return placement.unanswered > 0 or not _lists(report, placement)
+
+
 def _lists(report: PollReport, placement: Placement) -> bool:
     """Return whether a worker lists a run or its end."""
     name = (placement.task, placement.run)
