Count waiting jobs as unknown while an owner that may have some recovers

Change: the count is the sum over all pools. A pool without a recent count is asked if its last count has the queue's jobs or is older than the queue's last jobs for it can be; without an answer the count is unknown (503). Pools that can't have such jobs count as 0.

--- a/features/jobs/queue_moves.feature
+++ b/features/jobs/queue_moves.feature
@@ -60,3 +60,20 @@
     And 25 seconds go by
     Then the job is shown as "completed" by every node
     And each task of the job was started once
+
+  Scenario: Jobs of a former pool whose owner recovers are not counted as none
+    Given no worker of the first pool is listed
+    When a job of the steps "4" is submitted
+    And 1 second goes by
+    And its queue is removed, and added again with the pool "annex"
+    And 20 seconds go by
+    And the jobs of the first pool can't be read, and its owner is killed
+    Then for 6 seconds no node counts fewer than 1 waiting job of the queue
+    When the jobs can be read again
+    And 4 seconds go by
+    Then every node counts 1 waiting job of the queue
+
+  Scenario: A pool that has no jobs of a queue doesn't make its count unknown
+    When 20 seconds go by
+    And the jobs of the pool "annex" can't be read, and its owner is killed
+    Then for 6 seconds every node counts 0 waiting jobs of the queue
--- a/features/steps/queue_move_steps.py
+++ b/features/steps/queue_move_steps.py
@@ -5,11 +5,13 @@
 
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.model import Job, QueueName
+from cyclamentrack.jobs.records import STEPS
 from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import POOL, make_queue
 
 _FIRST_WORKER = 50
 _APPLIED_S = 1.0
+_COUNT_EVERY_S = 0.2
 
 
 @given('another pool "{name}" with {count:d} workers')
@@ -83,13 +85,58 @@
 @then('every node counts {count:d} waiting job of the queue')
 def check_waiting(context, count):
     world = context.jobs
+    assert set(_count_waiting(world)) == {count}
+
+
+@when("the jobs of the first pool can't be read, and its owner is killed")
+def kill_unreadable(context):
+    _kill_unreadable(context.jobs, POOL)
+
+
+@when('the jobs of the pool "{name}" can\'t be read, and its owner is killed')
+def kill_unreadable_pool(context, name):
+    _kill_unreadable(context.jobs, PoolName(name))
+
+
+@when('the jobs can be read again')
+def read_again(context):
+    context.jobs.rows.unanswered_scans.clear()
+
+
+@then(
+    'for {seconds:g} seconds no node counts fewer than {least:d} waiting job '
+    'of the queue'
+)
+def check_least(context, seconds, least):
+    for counts in _watch_counts(context.jobs, seconds):
+        assert all(one is None or one >= least for one in counts), counts
+
+
+@then(
+    'for {seconds:g} seconds every node counts {count:d} waiting jobs of the '
+    'queue'
+)
+def check_steady(context, seconds, count):
+    for counts in _watch_counts(context.jobs, seconds):
+        assert set(counts) == {count}, counts
+
+
+def _kill_unreadable(world, pool):
+    """Kill a pool's owner; the next one can't finish its recovery."""
+    world.rows.unanswered_scans.add((STEPS, pool))
+    world.kill_node(world.owner(pool))
+
+
+def _watch_counts(world, seconds):
+    for _ in range(int(seconds / _COUNT_EVERY_S)):
+        world.loop.sleep(_COUNT_EVERY_S)
+        yield _count_waiting(world)
+
+
+def _count_waiting(world):
     queue = world.queues['lookups']
 
     async def ask(service):
         return await service.waiting(queue.name, queue.pool)
 
-    counts = {
-        name: world.loop.run(ask, service)
-        for name, service in world.services.items()
-    }
-    assert set(counts.values()) == {count}, counts
+    return [world.loop.run(ask, service) for service in world.services.values()]
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -51,6 +51,7 @@
     Timings,
     WorkerOrders,
 )
+from cyclamentrack.jobs.queue_moves import QueueMoves
 from cyclamentrack.jobs.records import (
     MEMBERS,
     Claim,
@@ -143,6 +144,7 @@
         self.dependencies = dependencies
         self.configuration: Configuration | None = None
         self.configured = trio.Event()
+        self.queue_moves = QueueMoves(began_at=trio.current_time())
         self.owners: dict[PoolName, SliceOwner] = {}
         self.members: dict[str, Member] = {}
         self.lease_tracker = LeaseTracker(store=dependencies.store)
@@ -365,6 +367,8 @@
         current = self.configuration
         if current is not None and found.version <= current.version:
             return
+        if current is not None:
+            self.queue_moves.note(current, found, now=trio.current_time())
         self.configuration = found
         self.configured.set()
         _log.info(
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -49,12 +49,16 @@
     ``changed_at`` and ``written_after`` are in seconds of trio's clock. The
     lease was written after ``written_after``, which is minus infinity for a
     lease that didn't come from the feed, since it may be of any age.
+    ``counts`` are the latest waiting jobs by queue that an owner has given,
+    and ``counted_after`` is the same for them as ``written_after``.
     """
 
     lease: Lease
     version: int
     changed_at: float
     written_after: float = -math.inf
+    counts: dict[QueueName, int] = msgspec.field(default_factory=dict)
+    counted_after: float = -math.inf
 
 
 class LeaseTracker:
@@ -108,6 +112,19 @@
             return None
         return seen.lease.waiting
 
+    def may_have_waiting(
+        self, pool: PoolName, queue: QueueName, *, settled_at: float
+    ) -> bool:
+        """Return whether a pool may have waiting jobs of a queue.
+
+        It has none if its last count was taken after ``settled_at``, when it
+        got the last ones, and lacks the queue.
+        """
+        seen = self.seen.get(pool)
+        if seen is None:
+            return False
+        return queue in seen.counts or seen.counted_after < settled_at
+
     async def refresh(self, pool: PoolName) -> None:
         """Read one lease now instead of waiting for the feed.
 
@@ -210,11 +227,8 @@
             known = self.seen.get(pool)
             if known is not None and known.version >= row.version:
                 continue
-            self.seen[pool] = ObservedLease(
-                lease=_lease_of(row),
-                version=row.version,
-                changed_at=now,
-                written_after=written_after,
+            self.seen[pool] = _observe(
+                row, known, changed_at=now, written_after=written_after
             )
         self.changed.set()
         self.changed = trio.Event()
@@ -349,6 +363,30 @@
     return tuple(dict.fromkeys((*known, *found)))[:MAX_SHAPES]
 
 
+def _observe(
+    row: StoredRow,
+    known: ObservedLease | None,
+    *,
+    changed_at: float,
+    written_after: float,
+) -> ObservedLease:
+    """Return a lease as read; without counts it keeps those known before."""
+    lease = _lease_of(row)
+    counts = lease.waiting
+    counted_after = written_after
+    if counts is None:
+        counts = known.counts if known else {}
+        counted_after = known.counted_after if known else -math.inf
+    return ObservedLease(
+        lease=lease,
+        version=row.version,
+        changed_at=changed_at,
+        written_after=written_after,
+        counts=counts,
+        counted_after=counted_after,
+    )
+
+
 def _lease_of(row: StoredRow) -> Lease:
     """Decode a lease; one that can't be decoded counts as released."""
     try:
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -156,15 +156,13 @@
 
         Returns ``None`` if the count is unknown.
         """
-        counts = self._own_counts(pool)
-        if counts is None:
-            now = trio.current_time()
-            counts = self._cell.lease_tracker.waiting(pool, now=now)
+        counts = self._known_counts(pool)
         if counts is None:
             counts = await self._ask_waiting(pool)
-        if counts is None:
+        elsewhere = await self._waiting_elsewhere(queue, pool)
+        if counts is None or elsewhere is None:
             return None
-        return counts.get(queue, 0) + self._waiting_elsewhere(queue, pool)
+        return counts.get(queue, 0) + elsewhere
 
     async def answer_peer(self, message: JobCellMessage) -> JobCellMessage:
         """Answer a request of a peer."""
@@ -219,18 +217,40 @@
             return None
         return owner.registry.waiting()
 
-    def _waiting_elsewhere(self, queue: QueueName, pool: PoolName) -> int:
+    def _known_counts(self, pool: PoolName) -> dict[QueueName, int] | None:
+        """Return recent counts of a pool that are known without a call.
+
+        Leases are renewed more often than callers need the counts.
+        """
+        counts = self._own_counts(pool)
+        if counts is None:
+            now = trio.current_time()
+            counts = self._cell.lease_tracker.waiting(pool, now=now)
+        return counts
+
+    async def _waiting_elsewhere(
+        self, queue: QueueName, pool: PoolName
+    ) -> int | None:
         """Count the queue's waiting jobs that were accepted for other pools.
 
-        Their leases are renewed more often than callers need the count.
+        Returns ``None`` if the count is unknown. A pool without a recent count
+        matters only if it may have such jobs.
         """
-        seen = self._cell.lease_tracker.seen
-        counts = [
-            self._own_counts(other) or lease.lease.waiting or {}
-            for other, lease in seen.items()
-            if other != pool
-        ]
-        return sum(count.get(queue, 0) for count in counts)
+        total = 0
+        tracker = self._cell.lease_tracker
+        for other in list(tracker.seen):
+            if other == pool:
+                continue
+            counts = self._known_counts(other)
+            settled_at = self._cell.queue_moves.settled_at(queue, other)
+            if counts is None and tracker.may_have_waiting(
+                other, queue, settled_at=settled_at
+            ):
+                counts = await self._ask_waiting(other)
+                if counts is None:
+                    return None
+            total += (counts or {}).get(queue, 0)
+        return total
 
     def _could_run(self, job: Job) -> bool:
         """Return whether each step's tasks fit on some known worker shape.
