Keep the cancellation of an unknown job until no late write can store it

The removal of an expired job had no condition, so a late one removed a later job of the id. Change: such a cancellation writes a tombstone, on condition that the job isn't stored, before the 410. The rows of an expired job are removed on condition of their version.

--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -16,6 +16,8 @@
 from cyclamentrack.jobs.model import Job, JobId, JobState, Origin
 from cyclamentrack.jobs.ports import (
     Batch,
+    Committed,
+    Expect,
     HistoryLostError,
     Page,
     PartNames,
@@ -27,8 +29,8 @@
     JOBS,
     STEPS,
     VOTERS,
+    Cancellation,
     Voter,
-    cancel_key,
     cancel_key_beside,
     cancelled_job,
     closed_key,
@@ -36,6 +38,7 @@
     may_hold_jobs_of,
 )
 from cyclamentrack.jobs.registry import Closed, JobRun, placements
+from cyclamentrack.jobs.tombstones import TombstoneRemover
 
 if TYPE_CHECKING:
     from cyclamentrack.jobs.owner import OwnerDependencies, SliceOwner
@@ -65,7 +68,11 @@
         self._dependencies = dependencies
         self._store = dependencies.store
         self._health = FeedHealth(name='jobs')
+        self.tombstones = TombstoneRemover(
+            owner=owner, dependencies=dependencies
+        )
         self._former_keys: dict[JobId, RowKey] = {}
+        self._versions: dict[JobId, int] = {}
 
     async def recover(self) -> int:
         """Read the registry of earlier owners; return the version to follow."""
@@ -119,6 +126,13 @@
         self._close_cancelled(job, origin)
         self._owner.wake()
 
+    def forget_cancellation(self, key: RowKey) -> None:
+        """Forget a cancellation whose row is gone, also of other pools."""
+        self.tombstones.forget(key)
+        job = cancelled_job(key)
+        if job is not None and job not in self._owner.registry.jobs:
+            self._owner.registry.cancels.pop(job, None)
+
     async def remove_expired_jobs(self) -> None:
         """Remove closed jobs once callers may no longer ask for their state.
 
@@ -184,7 +198,7 @@
                 if may_hold_jobs_of(self._owner.claim.pool, row.key.part):
                     self._apply_row(row)
             for key in changes.removed:
-                self._forget_cancellation(key)
+                self.forget_cancellation(key)
             self._owner.wake()
             await trio.sleep(_FEED_GAP_S)
 
@@ -242,11 +256,13 @@
     def _apply_row(self, row: StoredRow) -> None:
         cancelled = cancelled_job(row.key)
         if cancelled is not None:
-            self._close_cancelled(cancelled, _read_origin(row.body))
+            cancellation = _read_cancellation(row.body)
+            self.tombstones.note(row, cancellation)
+            self._close_cancelled(cancelled, cancellation)
             return
         pool = self._owner.claim.pool
         if JobId(row.key.key) in self._owner.registry.closed:
-            self._note_former_key(row.key)
+            self._note_row(row)
             return
         # CBOR holds texts as they are. Most rows are those of other pools, and
         # decoding them all would take a new owner long.
@@ -258,14 +274,15 @@
             _log.error('job not decoded job=%s: %s', row.key.key, error)
             return
         if job.pool == pool:
-            self._note_former_key(row.key)
+            self._note_row(row)
             self._admit(job)
 
-    def _note_former_key(self, key: RowKey) -> None:
-        """Remember a job's key if an earlier version has stored it."""
-        job = JobId(key.key)
-        if key != job_key(job):
-            self._former_keys[job] = key
+    def _note_row(self, row: StoredRow) -> None:
+        """Remember a job's version, and its key if it is of an earlier one."""
+        job = JobId(row.key.key)
+        self._versions[job] = row.version
+        if row.key != job_key(job):
+            self._former_keys[job] = row.key
 
     def _admit(self, job: Job) -> None:
         age = self._dependencies.wall_clock() - job.accepted_at_s
@@ -294,45 +311,64 @@
         if registry.is_cancelled(entry.job):
             self._owner.close(entry, JobState.CANCELLED)
 
-    def _forget_cancellation(self, key: RowKey) -> None:
-        """Forget a cancellation whose row is gone, also of other pools."""
-        job = cancelled_job(key)
-        if job is not None and job not in self._owner.registry.jobs:
-            self._owner.registry.cancels.pop(job, None)
-
     def _forget(self, job: JobId) -> None:
         self._owner.registry.closed.pop(job)
         self._owner.registry.cancels.pop(job, None)
         self._former_keys.pop(job, None)
+        self._versions.pop(job, None)
         self._owner.journal.put(closed_key(self._owner.claim.pool, job), None)
 
     async def _remove_job(self, job: JobId) -> bool:
         """Remove a job's own rows; return whether that succeeded.
 
-        An earlier version may have stored them in another part.
+        An earlier version may have stored them in another part. A removal
+        that the store applies late must not remove a later job of this id.
         """
         former = self._former_keys.get(job)
         try:
-            await self._store.commit(
-                Batch(removes=(job_key(job), cancel_key(job)))
-            )
             if former is not None:
-                await self._store.commit(
-                    Batch(removes=(former, cancel_key_beside(former)))
-                )
+                await self._remove_version(former, job)
+            reused = await self._remove_version(job_key(job), job)
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.info('expired job not removed job=%s: %s', job, error)
             return False
-        return True
+        if reused is None:
+            return True
+        if job not in self._versions:
+            # No reading has brought the row yet, so it may be the job's own.
+            self._note_row(reused)
+            return False
+        self._forget(job)
+        self._apply_row(reused)
+        return False
+
+    async def _remove_version(
+        self, key: RowKey, job: JobId
+    ) -> StoredRow | None:
+        """Remove a job's row as it was read, and its cancellation.
+
+        Returns the row of another job that has taken the id. Raises
+        ``StoreRefusedError`` or ``StoreUncertainError``.
+        """
+        version = self._versions.get(job, 0)
+        if key != self._former_keys.get(job, job_key(job)):
+            version = 0
+        answer = await self._store.commit(
+            Batch(
+                expected=(Expect(key, version),),
+                removes=(key, cancel_key_beside(key)),
+            )
+        )
+        return None if isinstance(answer, Committed) else answer.find(key)
 
 
 def _version(row: StoredRow) -> int:
     return row.version
 
 
-def _read_origin(body: bytes) -> Origin | None:
-    """Return the queue of a cancellation; earlier versions stored none."""
+def _read_cancellation(body: bytes) -> Cancellation | None:
+    """Return a cancellation; earlier versions stored it without its queue."""
     try:
-        return decode(body, Origin)
+        return decode(body, Cancellation)
     except msgspec.ValidationError:
         return None
--- a/packages/cyclamentrack/cyclamentrack/jobs/messages.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/messages.py
@@ -101,12 +101,16 @@
 
 
 class ForwardCancel(msgspec.Struct, frozen=True, kw_only=True, tag='fwd-stop'):
-    """Cancel a job for a node that the store refuses or doesn't answer."""
+    """Cancel a job for a node that the store refuses or doesn't answer.
+
+    With ``job_unknown`` it is cancelled in advance, unless it is stored.
+    """
 
     pool: PoolName
     queue: QueueName
     job: JobId
     origin: Origin | None = None
+    job_unknown: bool = False
 
 
 class TransferSlice(msgspec.Struct, frozen=True, kw_only=True, tag='yield'):
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -182,6 +182,7 @@
             nursery.start_soon(worker_feed.drop_unlisted_runs)
             nursery.start_soon(VoterRecorder(owner=self).run)
             nursery.start_soon(intake.remove_expired_jobs)
+            nursery.start_soon(intake.tombstones.run)
             self.recovered.set()
             self.metrics.observe(
                 'slice_recovery', trio.current_time() - self.claim.claimed_at
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -26,7 +26,7 @@
     RowStore,
     StoreRefusedError,
 )
-from cyclamentrack.jobs.records import cancel_key, job_key
+from cyclamentrack.jobs.records import Cancellation, cancel_key, job_key
 from cyclamentrack.ports import Peers
 
 # A slow store takes about 0.25 s; a write that takes longer than this has
@@ -62,9 +62,9 @@
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
-    """The outcome of a write, and the body of the row that was there already.
+    """The outcome of a write, and the body of the job that was there already.
 
-    ``found`` is ``None`` if the row was written, or isn't known.
+    ``found`` is ``None`` if the write took effect, or the job isn't known.
     """
 
     outcome: RequestOutcome
@@ -82,6 +82,20 @@
     return Batch(puts=((cancel_key(job), encode(origin)),))
 
 
+def tombstone_batch(job: JobId, origin: Origin) -> Batch:
+    """Return the write that cancels a job in advance, unless it is stored."""
+    tombstone = Cancellation(
+        queue=origin.queue,
+        address=origin.address,
+        account=origin.account,
+        job_unknown=True,
+    )
+    return Batch(
+        expected=(Expect(job_key(job), 0),),
+        puts=((cancel_key(job), encode(tombstone)),),
+    )
+
+
 _UNKNOWN = WriteResult(outcome=RequestOutcome.UNKNOWN)
 _REFUSED = WriteResult(outcome=RequestOutcome.REFUSED)
 
@@ -156,7 +170,7 @@
                 return _REFUSED
             found = None
             if isinstance(answer, Conflict):
-                row = answer.find(batch.puts[0][0])
+                row = answer.find(batch.expected[0].key)
                 found = row.body if row else None
             return WriteResult(outcome=RequestOutcome.STORED, found=found)
         return _UNKNOWN
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -8,6 +8,7 @@
 from cyclamentrack.jobs.model import (
     InstanceId,
     JobId,
+    Origin,
     QueueName,
     Shape,
     StepName,
@@ -63,6 +64,17 @@
     left: bool = False
 
 
+class Cancellation(Origin, frozen=True, kw_only=True, omit_defaults=True):
+    """The row that cancels a job: the queue and account that did.
+
+    ``job_unknown`` marks a tombstone: there was no such job, and a submission
+    of it that is stored later must not start it. Earlier versions store and
+    read an ``Origin`` alone.
+    """
+
+    job_unknown: bool = False
+
+
 def jobs_part(job: JobId) -> str:
     """Return the part that a job's rows belong to, by the job's id alone.
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from collections.abc import Iterable
 
 import msgspec
 import trio
@@ -47,8 +48,9 @@
     WriteResult,
     cancel_batch,
     job_batch,
+    tombstone_batch,
 )
-from cyclamentrack.jobs.ports import StoredRow, StoreRefusedError
+from cyclamentrack.jobs.ports import Batch, RowKey, StoredRow, StoreRefusedError
 from cyclamentrack.jobs.records import closed_key, former_job_keys, job_key
 from cyclamentrack.jobs.registry import Closed
 
@@ -57,6 +59,7 @@
 _OWNER_TIMEOUT_S = 0.25
 _PEER_TIMEOUT_S = 0.5
 _MAX_PEERS_ASKED = 3
+_STORED = RequestOutcome.STORED
 _NOT_OWNED = JobStateReply(owned=False)
 
 
@@ -121,21 +124,32 @@
         caller_timeout_s: float,
         account: AccountName = NO_ACCOUNT,
     ) -> RequestOutcome:
-        """Cancel a job; ``NOT_FOUND`` means that there is no such job."""
+        """Cancel a job; ``NOT_FOUND`` means that there is no such job.
+
+        A submission of it may still be on its way to the store, so it is
+        cancelled in advance before that is answered.
+        """
         shown = await self.show(queue=queue, job=job, account=account)
-        if shown.known and shown.state is None:
-            return RequestOutcome.NOT_FOUND
-        pool = shown.pool or queue.pool
-        origin = queue.origin_of(account)
-        result = await self._writer.write_with_retry(
-            cancel_batch(job, origin),
-            ForwardCancel(pool=pool, queue=queue.name, job=job, origin=origin),
-            caller_timeout_s=caller_timeout_s,
+        message = ForwardCancel(
+            pool=shown.pool or queue.pool,
+            queue=queue.name,
+            job=job,
+            origin=queue.origin_of(account),
         )
-        if result.outcome is RequestOutcome.STORED:
-            self._cell.notify_owner(
-                pool, CancelStored(pool=pool, job=job, origin=origin)
-            )
+        if not shown.known or shown.state is None:
+            message = msgspec.structs.replace(message, job_unknown=True)
+        result = await self._store_cancellation(message, caller_timeout_s)
+        if not message.job_unknown or result.outcome is not _STORED:
+            return result.outcome
+        if result.found is None:
+            return RequestOutcome.NOT_FOUND if shown.known else _STORED
+        stored = _read_job(result.found)
+        if stored is not None:
+            if not stored.origin.matches(queue.origin_of(account)):
+                return RequestOutcome.NOT_FOUND
+            message = msgspec.structs.replace(message, pool=stored.pool)
+        message = msgspec.structs.replace(message, job_unknown=False)
+        result = await self._store_cancellation(message, caller_timeout_s)
         return result.outcome
 
     async def show(
@@ -183,9 +197,9 @@
                 return await self._show_to_peer(pool, job)
             case ForwardSubmit(job=job):
                 return _reply(await self._writer.store_locally(job_batch(job)))
-            case ForwardCancel(job=job, origin=origin):
+            case ForwardCancel():
                 return _reply(
-                    await self._writer.store_locally(cancel_batch(job, origin))
+                    await self._writer.store_locally(_cancellation(message))
                 )
             case TransferSlice(pool=pool, claim=claim):
                 taken = await self._cell.claim_from_owner(pool, claim)
@@ -199,6 +213,22 @@
             case _:
                 return OutcomeReply(kept=RequestOutcome.REFUSED.value)
 
+    async def _store_cancellation(
+        self, message: ForwardCancel, caller_timeout_s: float
+    ) -> WriteResult:
+        """Store a cancellation, and notify the owner once that is done."""
+        result = await self._writer.write_with_retry(
+            _cancellation(message), message, caller_timeout_s=caller_timeout_s
+        )
+        if result.outcome is _STORED and result.found is None:
+            self._cell.notify_owner(
+                message.pool,
+                CancelStored(
+                    pool=message.pool, job=message.job, origin=message.origin
+                ),
+            )
+        return result
+
     def _accept_stored(self, stored: Job, job: Job) -> RequestOutcome:
         if not stored.origin.matches(job.origin):
             return RequestOutcome.TAKEN
@@ -403,11 +433,36 @@
 
     async def _read_row(self, pool: PoolName, job: JobId) -> StoredRow | None:
         """Read a job's own row, wherever this or an earlier version has it."""
-        for key in (job_key(job), *former_job_keys(pool, job)):
-            row = await self._store.read(key)
+        row = await self._store.read(job_key(job))
+        if row is None:
+            # At once, so that the cancellation of an unknown job, which needs
+            # a write besides, takes no longer than without.
+            return await self._read_any(former_job_keys(pool, job))
+        return row
+
+    async def _read_any(self, keys: Iterable[RowKey]) -> StoredRow | None:
+        """Read rows at the same time; return one that exists.
+
+        Raises ``StoreRefusedError`` or ``StoreUncertainError``.
+        """
+        found: list[StoredRow] = []
+        errors: list[StoreUncertainError | StoreRefusedError] = []
+
+        async def read(key: RowKey) -> None:
+            try:
+                row = await self._store.read(key)
+            except (StoreUncertainError, StoreRefusedError) as error:
+                errors.append(error)
+                return
             if row is not None:
-                return row
-        return None
+                found.append(row)
+
+        async with trio.open_nursery() as nursery:
+            for key in keys:
+                nursery.start_soon(read, key)
+        if errors and not found:
+            raise errors[0]
+        return found[0] if found else None
 
     async def _refuse(
         self, job: Job, outcome: RequestOutcome
@@ -437,5 +492,11 @@
         return None
 
 
+def _cancellation(message: ForwardCancel) -> Batch:
+    if message.job_unknown and message.origin is not None:
+        return tombstone_batch(message.job, message.origin)
+    return cancel_batch(message.job, message.origin)
+
+
 def _reply(result: WriteResult) -> OutcomeReply:
     return OutcomeReply(kept=result.outcome.value, found=result.found)
