Limit what an account runs in all pools together by its cap

Cause: an account's cap was read from the configuration and enforced nowhere, and the pools that an account works in have different owners.

Change: each owner starts tasks of a capped account only within its pool's allotment, kept in one row per account (table allotments), written by compare-and-swap and adopted with the owner's token before anything starts. A start is checked again just before its order is sent. A gang that can't fit its account's cap is refused (422). Closed keeps what runs that are being stopped still use, and waves count what the account may run at a time.

--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -2,6 +2,7 @@
 
 import bisect
 import operator
+from collections import Counter
 from collections.abc import Callable
 
 import trio
@@ -39,7 +40,7 @@
     are applied only after seconds. With ``transaction_s`` the transactions of a
     part take so long, one after another; while more than one second of them
     wait, others are refused. A transaction with a value over ``row_bytes`` is
-    refused for good.
+    refused for good. ``calls`` counts the calls of all kinds by table.
     """
 
     def __init__(self, *, links: Links | None = None) -> None:
@@ -60,6 +61,7 @@
         self.row_bytes = _ROW_BYTES
         self.commits = 0
         self.refusals = 0
+        self.calls: Counter[str] = Counter()
         self.history_from = 0
         self.on_commit: Callable[[Batch], None] | None = None
         self._part_free_at: dict[str, float] = {}
@@ -165,6 +167,7 @@
 
     async def commit(self, batch: Batch) -> Committed | Conflict:
         """Apply a batch; a fault may delay it or lose its reply."""
+        self._rows.calls[_table_of(batch)] += 1
         await self._begin_call(_part_of(batch))
         rows = self._rows
         rows.check_size(batch)
@@ -185,6 +188,7 @@
 
     async def scan(self, *, table: str, part: str) -> Page:
         """Return all rows of a part of a table."""
+        self._rows.calls[table] += 1
         await self._begin_call(part)
         if (table, part) in self._rows.unanswered_scans:
             await self._lose_reply()
@@ -204,11 +208,13 @@
 
     async def read(self, key: RowKey) -> StoredRow | None:
         """Return one row, or ``None`` if there is none."""
+        self._rows.calls[key.table] += 1
         await self._begin_call(key.part)
         return self._rows.rows.get(key)
 
     async def follow(self, *, table: str, after: int, wait_s: float) -> Changes:
         """Wait up to ``wait_s`` for changes of a table after a version."""
+        self._rows.calls[table] += 1
         await self._begin_call()
         if after < self._rows.history_from:
             raise HistoryLostError(table=table)
@@ -236,8 +242,16 @@
 
 
 def _part_of(batch: Batch) -> str:
+    return _first_key(batch).part
+
+
+def _table_of(batch: Batch) -> str:
+    return _first_key(batch).table
+
+
+def _first_key(batch: Batch) -> RowKey:
     keys = [key for key, _ in batch.puts] or batch.removes
-    return keys[0].part
+    return keys[0]
 
 
 async def _apply_late(rows: MemoryRows, batch: Batch) -> None:
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobworkers.py
@@ -5,7 +5,7 @@
 was started again.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import trio
@@ -312,7 +312,7 @@
 
     ``readings`` are the response times that the tasks of a job report.
     ``paces`` counts the orders to pace a task, and ``lost_paces`` those to come
-    that are lost.
+    that are lost. ``on_start`` is called before each start.
     """
 
     def __init__(self, *, links: Links | None = None) -> None:
@@ -328,6 +328,7 @@
         self.paces = 0
         self.lost_paces = 0
         self.violations: list[str] = []
+        self.on_start: Callable[[StartOrder], None] | None = None
         self.completed_tasks: set[TaskName] = set()
         self._checkpoints: dict[tuple[str, int, int], str] = {}
 
@@ -351,6 +352,8 @@
     def record_start(self, worker: MemoryWorker, order: StartOrder) -> None:
         """Record a start and the rules that it violates."""
         task = order.task
+        if self.on_start is not None:
+            self.on_start(order)
         self._check_checkpoint(order)
         self.starts.append(
             (trio.current_time(), task, order.run, worker.entry.id),
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -151,6 +151,7 @@
         )
         self.members_feed = FeedHealth(name='members')
         self.leaving = False
+        self._configuration_applied_at = 0.0
         self._member_row = MemberRow(store=dependencies.store, member=me)
         self._nursery: trio.Nursery | None = None
         self._permit_call_lock = trio.Lock()
@@ -366,6 +367,7 @@
         if current is not None and found.version <= current.version:
             return
         self.configuration = found
+        self._configuration_applied_at = self.configuration_feed.now
         self.configured.set()
         _log.info(
             'configuration in force version=%d queues=%d',
@@ -423,6 +425,7 @@
         """
         version: int | None = None
         while True:
+            asked_at = feed.now
             try:
                 if version is None:
                     page = await self.dependencies.store.scan(
@@ -440,7 +443,7 @@
             except HistoryLostError:
                 version = None
                 continue
-            feed.note_answer()
+            feed.note_answer(asked_at)
             version = changes.version
             handlers.apply(changes.rows)
             handlers.remove(changes.removed)
@@ -561,6 +564,8 @@
                 wall_clock=dependencies.wall_clock,
                 steady_clock=dependencies.steady_clock,
                 suspended_s=dependencies.suspended_s,
+                configuration_age_s=lambda: self.configuration_feed.unknown_s,
+                configuration_applied_at=lambda: self._configuration_applied_at,
                 row_bytes=dependencies.row_bytes,
             ),
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/critical_path.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/critical_path.py
@@ -2,8 +2,8 @@
 
 Its length is the shortest time in which the job can end, and the job's
 objective is a multiple of it. As the objective does, it counts a step that is
-wider than a quarter of its pool's capacity in waves, and one permit call for
-each step.
+wider than a quarter of its pool's capacity, or than its account may run at a
+time, in waves, and one permit call for each step.
 """
 
 import math
@@ -11,7 +11,9 @@
 
 import msgspec
 
+from cyclamentrack.jobs.allotments import tasks_within_cap
 from cyclamentrack.jobs.model import Job, PermitPolicy, Step
+from cyclamentrack.resources import NO_RESOURCES, Resources
 
 # A step may use 1/4 of its pool at a time.
 _POOL_DIVISOR = 4
@@ -26,7 +28,8 @@
     """Length of a job's critical path, in seconds.
 
     For each step, ``after_s`` is the longest chain of steps that follow it
-    and ``pool_slots`` how many of its tasks fit into the pool, 0 if unknown.
+    and ``pool_slots`` how many of its tasks fit into the pool, 0 if unknown;
+    no more than four times as many as the account's cap admits.
     """
 
     total_s: float
@@ -53,9 +56,16 @@
     permits: PermitPolicy | None,
     capacity: PoolCapacity,
     task_s: Sequence[float],
+    cap: Resources = NO_RESOURCES,
 ) -> CriticalPath:
-    """Return a job's critical path; ``task_s`` is each step's time per task."""
-    pool_slots = tuple(capacity(step) for step in job.steps)
+    """Return a job's critical path; ``task_s`` is each step's time per task.
+
+    ``cap`` is that of the job's account.
+    """
+    pool_slots = tuple(
+        _slots(capacity(step), tasks_within_cap(cap, step.need))
+        for step in job.steps
+    )
     own = [
         _permit_call_s(permits) + each_s * waves(step, step.count, slots)
         for step, each_s, slots in zip(
@@ -69,6 +79,14 @@
     )
 
 
+def _slots(in_pool: int, in_cap: int | None) -> int:
+    """Return the number of slots of which a step may use a quarter."""
+    if in_cap is None:
+        return in_pool
+    within_cap = in_cap * _POOL_DIVISOR
+    return min(in_pool, within_cap) if in_pool else within_cap
+
+
 def _after(job: Job, own: list[float]) -> list[float]:
     """Return for each step the longest chain of steps that depend on it."""
     after = [0.0 for _ in job.steps]
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.account_caps import AccountCaps
 from cyclamentrack.jobs.crashes import has_worked
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.layout import (
@@ -35,8 +36,10 @@
         fleet: Fleet,
         permits: PermitCache,
         urgent_queues: Callable[[], bool],
+        caps: AccountCaps | None = None,
     ) -> None:
         """Place the registry's open steps on the fleet's workers."""
+        self._caps = caps
         self._urgent_queues = urgent_queues
         self._kept_for: dict[StepName, frozenset[WorkerId]] = {}
         self._registry = registry
@@ -59,6 +62,7 @@
         usable = [
             worker for worker in present if now >= worker.quarantined_until
         ]
+        caps = self._caps.begin_round() if self._caps else None
         state = RoundState(
             now=now,
             registry=self._registry,
@@ -69,12 +73,15 @@
             urgent_queues=self._urgent_queues(),
             max_starts=max_starts,
             free_permit_routes=self._permits.free_permit_routes(),
+            caps=caps,
         )
         ready_steps = self._ready_steps(now)
         state.add_contention(self._dependencies(ready_steps, state))
         previous = self._kept_for
         self._kept_for = {}
         for ready in ready_steps:
+            if not state.may_start(ready):
+                continue
             self._place_step(ready, state)
             if not state.needs_plan(ready.step.step):
                 self._permit_planner.request_for(ready, state)
@@ -84,6 +91,8 @@
             plan = self._permit_planner.plan(ready, state, last)
             if plan is not None:
                 self._kept_for[name] = frozenset(plan.starts)
+        if caps is not None:
+            caps.end()
         return state.outcome
 
     def _ready_steps(self, now: float) -> list[ReadyStep]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
@@ -1,6 +1,7 @@
 """Health of the change feeds that a node follows in the store."""
 
 import logging
+import math
 from collections.abc import Callable
 
 import trio
@@ -24,9 +25,22 @@
         self._suspended_s = suspended_s
         self._suspended_before_s = 0.0
         self._answered_at: float | None = None
+        self._known_at: float | None = None
         self._lost_at: float | None = None
         self._failures = 0
 
+    @property
+    def now(self) -> float:
+        """The time, including that in which the machine was suspended."""
+        return trio.current_time() + self._suspended_s()
+
+    @property
+    def unknown_s(self) -> float:
+        """Seconds for which changes may have been made that aren't known."""
+        if self._known_at is None:
+            return math.inf
+        return self.now - self._known_at
+
     @property
     def age_s(self) -> float | None:
         """Seconds since the last answer, ``None`` before the first one."""
@@ -35,8 +49,13 @@
         suspended_s = self._suspended_s() - self._suspended_before_s
         return trio.current_time() - self._answered_at + suspended_s
 
-    def note_answer(self) -> None:
-        """Record an answer, including one without changes."""
+    def note_answer(self, asked_at: float | None = None) -> None:
+        """Record an answer, including one without changes.
+
+        All changes from before ``asked_at``, a reading of ``now``, are known.
+        """
+        if asked_at is not None:
+            self._known_at = asked_at
         self._answered_at = trio.current_time()
         self._suspended_before_s = self._suspended_s()
         if self._lost_at is None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -82,6 +82,7 @@
         for entry in list(self._owner.registry.jobs.values()):
             self._owner.settle(entry)
             self._continue_job(entry)
+        self._owner.caps.usage.recover(self._owner.registry)
         _log.info(
             'slice recovered pool=%s token=%d open=%d closed=%d runs=%d',
             self._owner.claim.pool,
--- a/packages/cyclamentrack/cyclamentrack/jobs/launch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/launch.py
@@ -58,8 +58,9 @@
         answer_s = _FIRST_TIMEOUT_S
         while _is_current(owner, placement) and not placement.stopping:
             worker = owner.fleet.workers[placement.worker]
-            if worker.start_obstacle:
-                self._withdraw(placement, why=worker.start_obstacle)
+            obstacle = worker.start_obstacle or self._cap_obstacle(placement)
+            if obstacle:
+                self._withdraw(placement, why=obstacle)
                 return
             answer = await self._send_start(worker, placement, answer_s)
             if answer is StartAnswer.NOT_SENT and not attempts:
@@ -82,6 +83,18 @@
         if placement.stopping and not attempts:
             owner.handle_lost_run(placement, why='stopped before its start')
 
+    def _cap_obstacle(self, placement: Placement) -> str:
+        """Why the cap of a run's account keeps it from starting."""
+        registry = self._owner.registry
+        step = registry.step_of(placement.task)
+        if step is None:
+            return ''
+        return self._owner.caps.start_obstacle(
+            registry.jobs[placement.task.job].job,
+            step.step,
+            since=placement.since,
+        )
+
     def _withdraw(self, placement: Placement, *, why: str) -> None:
         """Place a task again instead of ordering its start on this worker."""
         self._owner.metrics.count('starts_withdrawn')
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -14,6 +14,7 @@
 
 from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.account_caps import AccountCaps
 from cyclamentrack.jobs.crashes import CrashedRun, is_hopeless, suspect
 from cyclamentrack.jobs.dispatch import Dispatcher
 from cyclamentrack.jobs.fleet import Fleet, Worker
@@ -105,6 +106,10 @@
     steady_clock: Callable[[], float]
     suspended_s: Callable[[], float]
     row_bytes: int = DEFAULT_ROW_BYTES
+    # How long a newer configuration may have been stored without being known
+    # here, and when the known one was read, seconds including suspended time.
+    configuration_age_s: Callable[[], float] = float
+    configuration_applied_at: Callable[[], float] = float
 
 
 class SliceOwner:
@@ -134,6 +139,10 @@
         # the jobs were not known yet.
         self.recovery_leases_sent_at: dict[WorkerId, float] = {}
         self.intake = JobIntake(owner=self, dependencies=dependencies)
+        self.caps = AccountCaps(
+            claim=claim, dependencies=dependencies, on_change=self.wake
+        )
+        self.registry.cap_of = self.caps.cap
         self._dependencies = dependencies
         self._store = dependencies.store
         self._wake = trio.Event()
@@ -177,11 +186,15 @@
                 recovery.start_soon(leases.run)
                 jobs_version = await intake.recover()
                 recovery.cancel_scope.cancel()
+            for task in (
+                worker_feed.follow,
+                worker_feed.drop_unlisted_runs,
+                VoterRecorder(owner=self).run,
+                intake.remove_expired_jobs,
+                self.caps.rows.run,
+            ):
+                nursery.start_soon(task)
             nursery.start_soon(intake.follow, jobs_version)
-            nursery.start_soon(worker_feed.follow)
-            nursery.start_soon(worker_feed.drop_unlisted_runs)
-            nursery.start_soon(VoterRecorder(owner=self).run)
-            nursery.start_soon(intake.remove_expired_jobs)
             self.recovered.set()
             self.metrics.observe(
                 'slice_recovery', trio.current_time() - self.claim.claimed_at
@@ -270,7 +283,9 @@
             placement.worker,
             why,
         )
-        self.registry.jobs[step.name.job].has_started()
+        entry = self.registry.jobs[step.name.job]
+        entry.has_started()
+        self.caps.release(entry.job, step.step)
         task.placement = None
         task.idle_since = trio.current_time()
         self.record_tasks(step, [task])
@@ -387,6 +402,8 @@
             return None
         if placement.worker != worker.entry.id:
             return None
+        job = self.registry.jobs[task.name.job].job
+        self.caps.release(job, job.steps[task.name.step])
         task.placement = None
         task.idle_since = trio.current_time()
         return placement
@@ -483,15 +500,25 @@
             if self.registry.all_done(entry):
                 self.close(entry, JobState.COMPLETED)
         elif entry.published and not entry.any_placed:
-            self.registry.drop(entry)
+            self._drop(entry)
         self.wake()
 
+    def _drop(self, entry: JobRun) -> None:
+        """Forget an ended job; a takeover no longer has to count its runs."""
+        job = entry.job.id
+        self.registry.drop(entry)
+        closed = self.registry.closed.get(job)
+        if closed is not None and closed.running is not None:
+            closed = msgspec.structs.replace(closed, running=None)
+            self.registry.closed[job] = closed
+            self.journal.put(closed_key(self.claim.pool, job), encode(closed))
+
     async def _publish(self, entry: JobRun, closed: Closed) -> None:
         await self.journal.flushed()
         entry.published = True
         self.registry.closed[entry.job.id] = closed
         if not entry.any_placed:
-            self.registry.drop(entry)
+            self._drop(entry)
 
     async def _dispatch_rounds(
         self, permits: PermitCache, launcher: Launcher
@@ -501,6 +528,7 @@
             fleet=self.fleet,
             permits=permits,
             urgent_queues=self._has_urgent_queues,
+            caps=self.caps,
         )
         while True:
             with trio.move_on_after(_MAX_ROUND_INTERVAL_S):
@@ -523,9 +551,10 @@
         if configuration is self._applied_configuration:
             return
         self._applied_configuration = configuration
+        recapped = self.caps.take_changes()
         for entry in self.registry.jobs.values():
             queue = self.queue(entry.job)
-            if queue != entry.queue:
+            if queue != entry.queue or entry.job.account in recapped:
                 entry.queue = queue
                 self.registry.update_critical_path(entry)
 
@@ -601,7 +630,9 @@
             resumed=bool(task.checkpoint),
         )
         task.placement = placement
-        self.registry.jobs[task.name.job].placed_once = True
+        entry = self.registry.jobs[task.name.job]
+        entry.placed_once = True
+        self.caps.charge(entry.job, assigned.step.step)
         return placement
 
     def _count_waiting(self) -> int:
--- a/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
@@ -48,7 +48,7 @@
         step = ready.step
         left = [
             task for task in ready.waiting if task.name not in state.assigned
-        ]
+        ][: state.within_cap(ready)]
         known = self._permits.of(step.name)
         may_run = bool(known.permitted) or ready.entry.queue.permits is None
         may_request = known.may_call(state.now) and state.may_request
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -48,7 +48,8 @@
     ``STORED`` means that the request was stored; ``REFUSED`` that it was not
     and won't be; ``UNKNOWN`` that it may have been; ``NOT_FOUND`` that there is
     no such job; ``IMPOSSIBLE`` that no worker of the pool is large enough for
-    one of its tasks; ``TOO_LARGE`` that no row of the store can hold the job;
+    one of its tasks; ``OVER_CAP`` that a gang needs more than the cap of its
+    account; ``TOO_LARGE`` that no row of the store can hold the job;
     ``TAKEN`` that the id is that of another queue's job.
     """
 
@@ -57,6 +58,7 @@
     UNKNOWN = 'unknown'
     NOT_FOUND = 'gone'
     IMPOSSIBLE = 'impossible'
+    OVER_CAP = 'over cap'
     TOO_LARGE = 'too large'
     TAKEN = 'taken'
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.accounts import AccountName
 from cyclamentrack.jobs.model import (
     InstanceId,
     JobId,
@@ -20,6 +21,7 @@
 MEMBERS = 'members'
 STEPS = 'journal'
 VOTERS = '.voters'
+ALLOTMENTS = 'allotments'
 
 _CANCEL_MARK = '/cancel'
 _PART_MARK = '/'
@@ -161,6 +163,11 @@
     return RowKey(STEPS, pool, VOTERS)
 
 
+def allotment_key(account: AccountName) -> RowKey:
+    """Return the key of an account's allotments."""
+    return RowKey(ALLOTMENTS, '', account)
+
+
 class Voter(msgspec.Struct, frozen=True, array_like=True):
     """One incarnation of a worker whose answers vouch for a slice's owner."""
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -6,7 +6,7 @@
 
 import bisect
 import enum
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -31,6 +31,7 @@
     TaskName,
 )
 from cyclamentrack.jobs.ports import DEFAULT_ROW_BYTES
+from cyclamentrack.resources import NO_RESOURCES, Resources
 
 _PERCENT = 100
 # Each change of a task costs the encoding of its row. A step of 10,000 tasks
@@ -40,10 +41,11 @@
 _ROW_MARGIN_BYTES = 2000
 
 
-class Closed(msgspec.Struct, frozen=True, kw_only=True):
+class Closed(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Record of a job that has ended; its id can't be used again.
 
     Rows of earlier versions lack the address of its queue and the account.
+    ``running`` is what runs of the account that are being stopped still use.
     """
 
     state: JobState
@@ -51,6 +53,7 @@
     closed_at_s: float
     address: str = ''
     account: AccountName = NO_ACCOUNT
+    running: Resources | None = None
 
     @property
     def origin(self) -> Origin:
@@ -346,6 +349,7 @@
         self._max_checkpoint_bytes = row_bytes - _ROW_MARGIN_BYTES
         self.jobs: dict[JobId, JobRun] = {}
         self._pool_capacity: PoolCapacity = _unknown_capacity
+        self.cap_of: Callable[[AccountName], Resources] = _no_cap
         self.closed: dict[JobId, Closed] = {}
         self.cancels: dict[JobId, Origin | None] = {}
         self.open_steps: dict[StepName, StepRun] = {}
@@ -358,6 +362,7 @@
             job,
             permits=queue.permits,
             capacity=self._pool_capacity,
+            cap=self.cap_of(job.account),
             task_s=[step.estimate_s for step in job.steps],
         )
         entry = JobRun(
@@ -382,6 +387,7 @@
             entry.job,
             permits=entry.queue.permits,
             capacity=self._pool_capacity,
+            cap=self.cap_of(entry.job.account),
             task_s=task_s,
         )
 
@@ -446,6 +452,7 @@
             closed_at_s=wall_s,
             address=entry.job.origin.address,
             account=entry.job.account,
+            running=self._running_need(entry),
         )
 
     def drop(self, entry: JobRun) -> None:
@@ -512,6 +519,13 @@
                 self.open_steps.pop(run.name, None)
         return moved
 
+    def _running_need(self, entry: JobRun) -> Resources | None:
+        """Return what a job's account still uses, ``None`` without a cap."""
+        if self.cap_of(entry.job.account) == NO_RESOURCES:
+            return None
+        found = placed_need(entry)
+        return None if found == NO_RESOURCES else found
+
     def _open_occurrences(
         self, entry: JobRun, *, now: float, wall_s: float
     ) -> None:
@@ -551,6 +565,11 @@
         return run
 
 
+def _no_cap(account: AccountName) -> Resources:
+    del account
+    return NO_RESOURCES
+
+
 def _unknown_capacity(step: Step) -> int:
     del step
     return 0
@@ -563,6 +582,14 @@
             yield from entry.placed
 
 
+def placed_need(entry: JobRun) -> Resources:
+    """Return the needs of a job's placements."""
+    found = NO_RESOURCES
+    for step in entry.steps.values():
+        found = found.plus(step.step.need.times(len(step.placed)))
+    return found
+
+
 def _task_row(task: TaskRun) -> TaskRow:
     placement = task.placement
     return TaskRow(
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.account_caps import CapRound
 from cyclamentrack.jobs.capacity_index import CapacityIndex, total
 from cyclamentrack.jobs.crashes import is_suspected
 from cyclamentrack.jobs.fleet import Worker, charge
@@ -118,6 +119,7 @@
         urgent_queues: bool,
         max_starts: int,
         free_permit_routes: int,
+        caps: CapRound | None = None,
     ) -> None:
         """Begin with no capacity kept and nothing assigned."""
         self._max_requests = free_permit_routes + _EXTRA_REQUESTS
@@ -130,6 +132,7 @@
             urgent_queues=urgent_queues,
         )
         self.now = now
+        self._caps = caps
         self.usable = usable
         self.quarantined = quarantined
         self.demand = Demand(self.capacity_index.total_free)
@@ -202,6 +205,20 @@
         end = self.now + step.step.estimate_s * worker.slowness
         return not step.step.lasting and end <= until
 
+    def may_start(self, ready: ReadyStep) -> bool:
+        """Return whether the account's cap lets some of a step's tasks start.
+
+        What it doesn't let start is noted as waiting for the cap.
+        """
+        if self._caps is None:
+            return True
+        free = self.capacity_index.total_free
+        return self._caps.admitted(ready, free=free) > 0
+
+    def within_cap(self, ready: ReadyStep) -> int | None:
+        """Return how many more of a step's tasks the cap lets start."""
+        return self._caps.room_left(ready) if self._caps else None
+
     def needs_plan(self, step: Step) -> bool:
         """Return whether capacity must be kept for a step's tasks."""
         return needs_plan(step, self._capacities.values())
@@ -217,6 +234,9 @@
     ) -> None:
         """Assign a task to a worker and charge the worker for it."""
         self.starts_left -= 1
+        if self._caps is not None:
+            account = self._registry.jobs[step.name.job].job.account
+            self._caps.assign(account, step.step)
         self.headroom.subtract(charge(step.step).milli_cores)
         worker.charge_run(
             task=task.name, run=task.run + 1, step=step.step, isolated=isolated
@@ -248,7 +268,7 @@
         Queues other than urgent ones must leave headroom for these. Lasting
         tasks and the first task of a neglected job are exempt.
         """
-        tasks = ready.waiting
+        tasks = self._left_within_cap(ready)
         step = ready.step
         if step.step.lasting:
             return tasks
@@ -339,6 +359,15 @@
             return False
         return not entry.any_placed
 
+    def _left_within_cap(self, ready: ReadyStep) -> list[TaskRun]:
+        room = self.within_cap(ready)
+        if room is None:
+            return ready.waiting
+        left = [
+            task for task in ready.waiting if task.name not in self.assigned
+        ]
+        return left[:room]
+
     def _find_eligible(self, step: StepRun, known: StepPermits) -> list[Worker]:
         fitting = self._allowed(
             step, self.capacity_index.with_free_capacity(step.step), known
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -13,6 +13,7 @@
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.accounts import NO_ACCOUNT, AccountName
+from cyclamentrack.jobs.allotments import gang_fits_cap
 from cyclamentrack.jobs.cell import JobCell
 from cyclamentrack.jobs.fleet import fits_empty_worker
 from cyclamentrack.jobs.messages import (
@@ -102,6 +103,8 @@
             return await self._refuse(job, RequestOutcome.TOO_LARGE)
         if not self._could_run(job):
             return await self._refuse(job, RequestOutcome.IMPOSSIBLE)
+        if not self._gangs_fit_cap(job):
+            return await self._refuse(job, RequestOutcome.OVER_CAP)
         result = await self._writer.write_with_retry(
             batch,
             ForwardSubmit(job=job),
@@ -243,6 +246,18 @@
             return True
         return all(fits_empty_worker(step, shapes) for step in job.steps)
 
+    def _gangs_fit_cap(self, job: Job) -> bool:
+        """Return whether each gang of a job fits the cap of its account."""
+        configuration = self._cell.configuration
+        if configuration is None or not job.account:
+            return True
+        account = configuration.account_index.named(job.account)
+        return account is None or all(
+            gang_fits_cap(account.cap, step.need, step.count)
+            for step in job.steps
+            if step.gang
+        )
+
     async def _find(self, pool: PoolName, job: JobId) -> ShownState:
         found = await self._owner_state(pool, job)
         if found.state is not None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
@@ -78,7 +78,8 @@
     async def drop_unlisted_runs(self) -> None:
         """Drop recorded runs whose worker has not been listed since the claim.
 
-        Waits until the lease of such a worker has certainly ended.
+        Waits until the lease of such a worker has certainly ended. What closed
+        jobs had running before the claim has also ended then.
         """
         quorum = self._owner.quorum
         recovery_leases_sent_at = self._owner.recovery_leases_sent_at.values()
@@ -93,6 +94,7 @@
                 lease_s=self._owner.timings.worker_lease_s,
             )
         )
+        self._owner.caps.release_former()
         await self._listed.wait()
         for placement in list(placements(self._owner.registry)):
             if placement.worker not in self._owner.fleet.workers:
--- a/packages/cyclamentrack/cyclamentrack/resources.py
+++ b/packages/cyclamentrack/cyclamentrack/resources.py
@@ -58,6 +58,14 @@
             accelerators=max(self.accelerators - other.accelerators, 0),
         )
 
+    def times(self, count: int) -> 'Resources':
+        """Return this amount ``count`` times."""
+        return Resources(
+            milli_cores=self.milli_cores * count,
+            memory_mib=self.memory_mib * count,
+            accelerators=self.accelerators * count,
+        )
+
     def times_in(self, whole: 'Resources') -> int:
         """Return how many times this amount fits into ``whole``.
 
