Test the caps of accounts across two pools on the paused clock

Cause: the requirement is a total over all workers at every moment, also through lost replies, late writes, takeovers and a cap that falls.

--- a/features/harness/jobworld.py
+++ b/features/harness/jobworld.py
@@ -91,6 +91,8 @@
         self.task_defaults = {}
         self.stores_terms = True
         self._clock_advance_s = 0.0
+        self.configured_accounts = []
+        self.account_of = {}
         self._jobs = 0
         self._queue_of = {}
         self.loop.run(self._begin)
@@ -109,6 +111,7 @@
             max_body_bytes=65536,
             accounts=accounts,
         )
+        self.configured_accounts.append((self.loop.run(self.now), accounts))
         self.loop.run(
             self._put,
             RowKey('op', '', 'config'),
@@ -194,7 +197,13 @@
         return JobId(f'{self._jobs + 1:016x}')
 
     def submit(
-        self, *steps, queue='lookups', node=None, account='', **behaviour
+        self,
+        *steps,
+        queue='lookups',
+        node=None,
+        account='',
+        pool=POOL,
+        **behaviour,
     ):
         """Submit a job; return its id and the node's answer.
 
@@ -210,13 +219,14 @@
         entry = Job(
             id=job,
             queue=QueueName(queue),
-            pool=POOL,
+            pool=pool,
             payload='x',
             steps=tuple(steps),
             accepted_at_s=self.loop.run(self.now),
             terms=self.queues.get(queue) if self.stores_terms else None,
             account=AccountName(account),
         )
+        self.account_of[job] = account
         service = self.services[node or next(iter(self.services))]
 
         async def send():
