--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -31,7 +31,7 @@
 from cyclamentrack.jobs.rounds import PermitRequest
 from cyclamentrack.resources import Resources
 
-_POOL = PoolName('full')
+POOL = PoolName('full')
 _PERMIT_S = 2.0
 _PER_RACK = 12
 _LABELS = ('a', 'a', 'b')
@@ -48,7 +48,7 @@
     """
 
     queue: Queue
-    weight: int
+    weight: float
     width: int
     cores: float
     work_s: float
@@ -56,15 +56,23 @@
     gang: bool = False
 
 
-def _kind(name: str, *, priority: int, decide_s: float, **shape) -> Kind:
+def make_kind(
+    name: str,
+    *,
+    priority: int,
+    decide_s: float,
+    target_s: float = 0.25,
+    **shape,
+) -> Kind:
+    """Return a kind of job and its queue."""
     queue = Queue(
         name=QueueName(name),
         host='h',
         path_prefix=f'/{name}/',
-        pool=_POOL,
+        pool=POOL,
         priority=priority,
         stretch=1.5 if priority == 0 else 4.0,
-        target_s=0.25,
+        target_s=target_s,
         permits=PermitPolicy(
             decide_s=decide_s, each_s=decide_s / 70, valid_s=_PERMIT_S
         ),
@@ -72,15 +80,15 @@
     return Kind(queue=queue, **shape)
 
 
-LOOKUPS = _kind(
+LOOKUPS = make_kind(
     'lookups', priority=0, decide_s=0.022, weight=6,
     width=10, cores=2.7, work_s=0.7, permitted_share=0.7,
 )  # fmt: skip
-BATCH = _kind(
+BATCH = make_kind(
     'batch', priority=2, decide_s=0.21, weight=3,
     width=22, cores=4.5, work_s=4.5, permitted_share=0.45,
 )  # fmt: skip
-GANGS = _kind(
+GANGS = make_kind(
     'gangs', priority=1, decide_s=0.7, weight=1,
     width=4, cores=7.0, work_s=4.5, permitted_share=0.3, gang=True,
 )  # fmt: skip
@@ -107,11 +115,7 @@
         self.log: list[tuple[str, str]] = []
         self.registry = JobRegistry()
         self.fleet = Fleet()
-        self.permits = PermitCache(
-            nursery=None,
-            permit_routes=lambda: dict.fromkeys(('', 'peer')),
-            on_answer=lambda: None,
-        )
+        self.permits = self.make_permits()
         self.dispatcher = Dispatcher(
             registry=self.registry,
             fleet=self.fleet,
@@ -127,7 +131,7 @@
         for number in range(workers):
             self.fleet.update_entry(_entry(number))
         self.registry.update_pool_capacity(self.fleet.task_capacity)
-        self._refill()
+        self.submit_due()
 
     @property
     def waiting_steps(self) -> int:
@@ -145,7 +149,7 @@
             worker.heard_at = self.now
         while self._ends and self._ends[0][0] <= self.now:
             self._end(heapq.heappop(self._ends)[-1])
-        self._refill()
+        self.submit_due()
 
     def decide(self) -> int:
         """Run one round and return how many tasks it placed."""
@@ -157,8 +161,7 @@
             self._place(
                 assignment.task, assignment.worker.entry.id, assignment.permit
             )
-        for request in outcome.permit_requests[:_CALLS_PER_ROUND]:
-            self._answer(request)
+        self.answer_permits(outcome.permit_requests)
         self.log.extend(
             (str(assignment.task.name), assignment.worker.entry.id)
             for assignment in outcome.assignments
@@ -178,7 +181,22 @@
             self.advance()
             self.decide()
 
-    def _refill(self) -> None:
+    def make_permits(self) -> PermitCache:
+        """Return the permit cache with its routes."""
+        return PermitCache(
+            nursery=None,
+            permit_routes=lambda: dict.fromkeys(('', 'peer')),
+            on_answer=lambda: None,
+        )
+
+    def answer_permits(self, requests: list[PermitRequest]) -> None:
+        """Answer a round's permit requests, most urgent first."""
+        for request in requests[:_CALLS_PER_ROUND]:
+            call = self.call_for(request)
+            self.record_call(call, request.entry.queue)
+
+    def submit_due(self) -> None:
+        """Replace the jobs that have ended."""
         while len(self.registry.jobs) < self._jobs:
             self._submit()
 
@@ -200,7 +218,7 @@
         job = Job(
             id=JobId(f'{self._submitted:016x}'),
             queue=kind.queue.name,
-            pool=_POOL,
+            pool=POOL,
             payload='',
             steps=(step,),
             accepted_at_s=self.now,
@@ -209,7 +227,6 @@
         self.registry.open_due_steps(entry, now=self.now, wall_s=self.now)
 
     def _place(self, task: TaskRun, worker: WorkerId, permit: str) -> None:
-        step = self.registry.step_of(task.name).step
         task.run += 1
         task.placement = Placement(
             task=task.name,
@@ -223,7 +240,7 @@
         )
         self.placed += 1
         self.registry.jobs[task.name.job].started = True
-        ends_at = self.now + step.estimate_s
+        ends_at = self.now + self.work_s(task.placement)
         heapq.heappush(self._ends, (ends_at, self.placed, task.placement))
 
     def _end(self, placement: Placement) -> None:
@@ -236,29 +253,43 @@
         task.placement = None
         task.done = True
         step = self.registry.step_of(name)
-        if step.done:
-            entry = self.registry.jobs[name.job]
-            self.permits.forget(step.name)
+        entry = self.registry.jobs[name.job]
+        entry.idle_since = self.now
+        if not step.done:
+            return
+        self.registry.open_steps.pop(step.name, None)
+        self.permits.forget(step.name)
+        self.registry.open_due_steps(entry, now=self.now, wall_s=self.now)
+        if self.registry.all_done(entry):
             self.registry.close(
                 entry, state=JobState.COMPLETED, wall_s=self.now
             )
             self.registry.drop(entry)
+            self.job_ended(entry.job.id)
 
-    def _answer(self, request: PermitRequest) -> None:
-        """Answer a permit request by its queue's share of permitted workers."""
-        kind = next(
-            one for one in self._kinds if one.queue == request.entry.queue
-        )
-        call = PermitCall(
+    def work_s(self, placement: Placement) -> float:
+        """Return how long a run takes."""
+        return self.registry.step_of(placement.task).step.estimate_s
+
+    def job_ended(self, job: JobId) -> None:
+        """Note that a job has ended."""
+
+    def call_for(self, request: PermitRequest) -> PermitCall:
+        """Return the call that a permit request makes."""
+        return PermitCall(
             step=request.step.name,
-            policy=kind.queue.permits,
+            policy=request.entry.queue.permits,
             workers={
                 worker.entry.id: worker.incarnation
                 for worker in request.workers
             },
             together=request.together,
         )
-        known = self.permits.of(request.step.name)
+
+    def record_call(self, call: PermitCall, queue: Queue) -> None:
+        """Answer a call by its queue's share of permitted workers."""
+        kind = next(one for one in self._kinds if one.queue == queue)
+        known = self.permits.of(call.step)
         granted = {
             name: 'p'
             for name in call.named
@@ -273,7 +304,7 @@
     cores = _SIZES[number % len(_SIZES)]
     return WorkerEntry(
         id=WorkerId(f'w{number:03}'),
-        pool=_POOL,
+        pool=POOL,
         address=f'w{number}:80',
         zone='z',
         capacity=Resources(
