Serve what is worth something first, and accounts within their rate

Change: jobs/order.py puts worthless jobs after all others, also when urgent, and among jobs that are worth the same those within their account's rate first; the others follow by weighted dominant share. jobs/fair_share.py has the token bucket and the shares; the share itself is one method of Resources that the older kernel's fairness uses too. The owner counts rates on arrival, and counts open jobs again after a takeover.

--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -12,6 +12,7 @@
 
 from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.dispatch import Dispatcher
+from cyclamentrack.jobs.fair_share import AccountWeight, no_weight
 from cyclamentrack.jobs.fleet import Fleet
 from cyclamentrack.jobs.model import (
     Job,
@@ -103,10 +104,12 @@
         workers: int,
         jobs: int,
         kinds: tuple[Kind, ...] = (LOOKUPS, BATCH, GANGS),
+        account_weight: AccountWeight = no_weight,
         round_s: float = 0.01,
         seed: int = 1,
     ) -> None:
         """Submit the jobs; nothing runs before the first round."""
+        self._account_weight = account_weight
         self.now = 100.0
         self.max_starts = 1000
         self.requested: list[StepName] = []
@@ -121,6 +124,7 @@
             fleet=self.fleet,
             permits=self.permits,
             urgent_queues=lambda: True,
+            account_weight=self._account_weight,
         )
         self._chance = random.Random(seed)
         self._kinds = kinds
--- a/features/harness/uneven.py
+++ b/features/harness/uneven.py
@@ -15,6 +15,7 @@
 
 from cyclamentrack.jobs.accounts import AccountName
 from cyclamentrack.jobs.critical_path import compute_critical_path
+from cyclamentrack.jobs.fair_share import AccountRates
 from cyclamentrack.jobs.model import Job, JobId, Queue, Step
 from cyclamentrack.jobs.permits import PermitCache, PermitCall
 from cyclamentrack.jobs.registry import Placement
@@ -32,6 +33,7 @@
 _MAX_ATTEMPTS = 5
 # Share of the usual load that all bursting accounts send together.
 _LARGE_SHARE = 0.4
+_WEIGHT_FACTOR = 1.5
 _SPEEDS = (1.0, 1.1, 1.2, 1.3)
 
 LOOKUPS = make_kind(
@@ -74,6 +76,11 @@
             share = (1 - large) / (self.accounts - self.bursting)
         return kind.weight * self.scale * share
 
+    def weight(self, account: int) -> float:
+        """Return half more than what an account usually sends a second."""
+        usual = sum(self.usual(kind, account) for kind in (LOOKUPS, BATCH))
+        return _WEIGHT_FACTOR * usual
+
     def rate(self, kind: Kind, account: int, at_s: float) -> float:
         """Return the jobs a second that an account sends of a kind."""
         usual = self.usual(kind, account)
@@ -128,11 +135,13 @@
         self.requests: list[Request] = []
         self.by_job: dict[JobId, Request] = {}
         self.waits: list[tuple[Request, float]] = []
+        self.rates = AccountRates(weight=self.account_weight)
         self._weight = weight
         super().__init__(
             workers=int(_FULL_WORKERS * load.scale),
             jobs=0,
             kinds=(LOOKUPS, BATCH),
+            account_weight=self.account_weight,
             round_s=0.04,
             seed=load.seed,
         )
@@ -154,12 +163,17 @@
             on_answer=lambda: None,
         )
 
+    def account_weight(self, name: AccountName) -> float | None:
+        """Return an account's weight, ``None`` if there are no accounts."""
+        return None if self._weight is None else self._weight(int(name[1:]))
+
     def play_day(self) -> None:
         """Play until the last job's caller has lost interest."""
         while self.at_s < _DAY_S + _AFTER_S:
             self.advance()
             if not any(
-                since <= self.at_s < until for since, until in self._load.outages
+                since <= self.at_s < until
+                for since, until in self._load.outages
             ):
                 self.decide()
         for request in self.requests:
@@ -171,10 +185,10 @@
 
     def account_values(self) -> list[float]:
         """Return for each account the share of its value that it got."""
-        return [
-            value(self.verdicts(lambda one, of=number: one.account == of))
-            for number in range(self._load.accounts)
-        ]
+        verdicts = [Counter() for _ in range(self._load.accounts)]
+        for request in self.requests:
+            verdicts[request.account][request.verdict] += 1
+        return [value(one) for one in verdicts]
 
     def answer_permits(self, requests: list) -> None:
         """Start calls over the free routes, most urgent first."""
@@ -218,6 +232,9 @@
         entry = self.registry.admit(
             job=request.job, queue=request.queue, now=self.now
         )
+        entry.within_rate = self.rates.admit(
+            request.job.account, arrived_at=self.now
+        )
         self.registry.open_due_steps(entry, now=self.now, wall_s=self.now)
 
     def _draw_arrivals(self) -> None:
@@ -275,8 +292,7 @@
             queue=kind.queue,
             account=account,
             first_at=first_at,
-            objective_s=kind.queue.target_s
-            + kind.queue.stretch * path.total_s,
+            objective_s=kind.queue.target_s + kind.queue.stretch * path.total_s,
             work_s=tuple(true_s),
         )
         self.by_job[job.id] = request
--- a/packages/cyclamentrack/cyclamentrack/fairness.py
+++ b/packages/cyclamentrack/cyclamentrack/fairness.py
@@ -135,5 +135,6 @@
         return used.plus(work.resources).fits(quota)
 
     def _team_share(self, team: TeamName, capacity: Resources) -> float:
-        used_share = self._usage.by_team(team).dominant_share(capacity)
-        return used_share / self._configuration.weight(team)
+        return self._usage.by_team(team).weighted_share(
+            capacity, weight=self._configuration.weight(team)
+        )
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -1,13 +1,20 @@
 """Assigns ready tasks to workers.
 
-If more is ready than fits, urgent queues come first, then steps for which
-capacity is kept, then the job that must start soonest.
+If more is ready than fits, jobs that are worth something come first; among
+them urgent queues, then steps for which capacity is kept, then the order of
+``SchedulingKey``.
 """
 
 from collections.abc import Callable, Iterator
 
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.accounts import AccountName
 from cyclamentrack.jobs.crashes import has_worked
+from cyclamentrack.jobs.fair_share import (
+    AccountWeight,
+    account_shares,
+    no_weight,
+)
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.layout import (
     place_each,
@@ -35,8 +42,10 @@
         fleet: Fleet,
         permits: PermitCache,
         urgent_queues: Callable[[], bool],
+        account_weight: AccountWeight = no_weight,
     ) -> None:
         """Place the registry's open steps on the fleet's workers."""
+        self._account_weight = account_weight
         self._urgent_queues = urgent_queues
         self._kept_for: dict[StepName, frozenset[WorkerId]] = {}
         self._registry = registry
@@ -87,13 +96,26 @@
         return state.outcome
 
     def _ready_steps(self, now: float) -> list[ReadyStep]:
-        found = (
-            ready_step(self._registry.jobs[step.name.job], step)
+        found = [
+            ready
             for step in self._registry.open_steps.values()
-        )
+            if (ready := ready_step(self._registry.jobs[step.name.job], step))
+        ]
+        shares = self._account_shares(found)
         return sorted(
-            (ready for ready in found if ready is not None),
-            key=lambda ready: self._sort_key(ready, now),
+            found, key=lambda ready: self._sort_key(ready, now, shares)
+        )
+
+    def _account_shares(
+        self, found: list[ReadyStep]
+    ) -> dict[AccountName, float]:
+        """Return the shares of accounts if any of them is beyond its rate."""
+        if all(ready.entry.within_rate for ready in found):
+            return {}
+        return account_shares(
+            registry=self._registry,
+            workers=self._fleet.workers.values(),
+            weight=self._account_weight,
         )
 
     def _dependencies(
@@ -108,15 +130,21 @@
                 yield set(permitted)
 
     def _sort_key(
-        self, ready: ReadyStep, now: float
-    ) -> tuple[bool, bool, SchedulingKey]:
+        self,
+        ready: ReadyStep,
+        now: float,
+        shares: dict[AccountName, float],
+    ) -> tuple[bool, bool, bool, SchedulingKey]:
         """Return a sort key: urgent steps, then steps with kept capacity.
 
         Capacity that was kept and then not used is wasted, so a step that has
         some keeps it.
         """
-        own = ready.scheduling_key(now)
-        return own.after_urgent, ready.step.name not in self._kept_for, own
+        own = ready.scheduling_key(
+            now, share=shares.get(ready.entry.job.account, 0.0)
+        )
+        kept = ready.step.name in self._kept_for
+        return own.worthless, own.after_urgent, not kept, own
 
     def _place_step(self, ready: ReadyStep, state: RoundState) -> None:
         step = ready.step
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -79,6 +79,7 @@
         for row in sorted(records.rows, key=_version):
             if '.' in row.key.key and row.key.key != VOTERS:
                 self._restore_step(row)
+        self._rate_recovered_jobs()
         for entry in list(self._owner.registry.jobs.values()):
             self._owner.settle(entry)
             self._continue_job(entry)
@@ -277,14 +278,35 @@
             return
         if not self._owner.recovered.is_set():
             return
+        self._rate(entry)
         _log.info(
-            'job added job=%s queue=%s steps=%d',
+            'job added job=%s queue=%s steps=%d account=%s rate=%s',
             job.id,
             job.queue,
             len(job.steps),
+            job.account or 'none',
+            'within' if entry.within_rate else 'beyond',
         )
         self._continue_job(entry)
 
+    def _rate(self, entry: JobRun) -> None:
+        """Note whether a job arrived within its account's rate."""
+        entry.within_rate = self._owner.account_rates.admit(
+            entry.job.account, arrived_at=entry.arrived_at
+        )
+        if not entry.within_rate:
+            self._owner.metrics.count('jobs_beyond_rate')
+
+    def _rate_recovered_jobs(self) -> None:
+        """Count the open jobs again, in the order in which they arrived.
+
+        Jobs that have ended aren't counted, so no job becomes beyond the rate
+        that wasn't.
+        """
+        entries = self._owner.registry.jobs.values()
+        for entry in sorted(entries, key=_arrived_at):
+            self._rate(entry)
+
     def _close_cancelled(self, job: JobId, origin: Origin | None) -> None:
         registry = self._owner.registry
         registry.cancels[job] = origin
@@ -330,6 +352,10 @@
     return row.version
 
 
+def _arrived_at(entry: JobRun) -> float:
+    return entry.arrived_at
+
+
 def _read_origin(body: bytes) -> Origin | None:
     """Return the queue of a cancellation; earlier versions stored none."""
     try:
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -4,8 +4,14 @@
 soonest to end within its objective is next, whatever its queue, so that no
 queue starves behind another. A job that misses its objective is still worth a
 fifth if it ends within three times the objective, and nothing after that. Such
-late jobs come next, and worthless ones last. The order is made for bursts of
-large jobs on top of a steady flow.
+late jobs come next, and worthless ones last, after all others of the pool even
+if they are urgent. Among jobs that are worth the same, those that arrived
+within their account's rate come before the others, which are ordered by the
+weighted dominant share of their account.
+
+The order is made for bursts of large jobs on top of a steady flow, and for
+accounts that send several times their usual: what these sent for seconds would
+otherwise delay all jobs of a queue long after the burst.
 """
 
 import enum
@@ -31,10 +37,17 @@
 
 
 class SchedulingKey(msgspec.Struct, frozen=True, order=True, array_like=True):
-    """Sort key of a ready step; the smallest is next."""
+    """Sort key of a ready step; the smallest is next.
 
+    ``share`` is the weighted dominant share of an account that is beyond its
+    rate, and 0 of others.
+    """
+
+    worthless: bool
     after_urgent: bool
     prospect: int
+    beyond_rate: bool
+    share: float
     latest_start: float
     job: str
 
@@ -57,15 +70,26 @@
     waiting: list[TaskRun]
     latest_start: float
 
-    def scheduling_key(self, now: float) -> SchedulingKey:
-        """Return the step's sort key."""
+    def scheduling_key(
+        self, now: float, *, share: float = 0.0
+    ) -> SchedulingKey:
+        """Return the step's sort key; ``share`` is that of the job's account.
+
+        Lasting tasks have no end, so they never become worthless.
+        """
         outlook = self.prospect(now)
         latest = self.latest_start + _PRIORITY_S * self.entry.queue.priority
+        worthless = outlook is Prospect.WORTHLESS
         if self.step.step.lasting:
             latest = self.step.opened_at
+            worthless = False
+        beyond_rate = not self.entry.within_rate
         return SchedulingKey(
+            worthless,
             self.entry.queue.priority > 0,
             outlook,
+            beyond_rate,
+            share if beyond_rate else 0.0,
             latest,
             self.entry.job.id,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -14,8 +14,10 @@
 
 from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName, WorkerId
+from cyclamentrack.jobs.accounts import AccountName
 from cyclamentrack.jobs.crashes import CrashedRun, is_hopeless, suspect
 from cyclamentrack.jobs.dispatch import Dispatcher
+from cyclamentrack.jobs.fair_share import AccountRates
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
 from cyclamentrack.jobs.journal import Journal
@@ -121,6 +123,7 @@
             claim=claim, suspended_s=dependencies.suspended_s
         )
         self.estimate_accuracy = EstimateAccuracy()
+        self.account_rates = AccountRates(weight=self.account_weight)
         self.journal = journal
         journal.on_refused = self._give_up_unrecorded
         self.loop_load = LoopLoad(
@@ -207,6 +210,12 @@
         configured = configuration and configuration.queue(job.queue)
         return configured or job.terms or _queue_without_terms(job)
 
+    def account_weight(self, name: AccountName) -> float | None:
+        """Return an account's weight, ``None`` if it isn't configured."""
+        configuration = self._dependencies.configuration()
+        account = configuration and configuration.account_index.named(name)
+        return account.weight if account else None
+
     def typical_s(self, step: StepRun) -> float:
         """Return the expected duration of one task of a step, 0 if unknown."""
         entry = self.registry.jobs.get(step.name.job)
@@ -501,6 +510,7 @@
             fleet=self.fleet,
             permits=permits,
             urgent_queues=self._has_urgent_queues,
+            account_weight=self.account_weight,
         )
         while True:
             with trio.move_on_after(_MAX_ROUND_INTERVAL_S):
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -284,7 +284,8 @@
 class JobRun(msgspec.Struct, kw_only=True, eq=False):
     """One job that is still in the registry.
 
-    ``published`` is set once the final state is durable.
+    ``published`` is set once the final state is durable. A job that is not
+    ``within_rate`` arrived while its account was beyond its rate.
     """
 
     job: Job
@@ -301,6 +302,7 @@
     idle_since: float = 0.0
     published: bool = False
     opened: int = 0
+    within_rate: bool = True
 
     @property
     def due_by(self) -> float:
--- a/packages/cyclamentrack/cyclamentrack/resources.py
+++ b/packages/cyclamentrack/cyclamentrack/resources.py
@@ -78,6 +78,16 @@
             _fraction(self.accelerators, whole.accelerators),
         )
 
+    def weighted_share(self, whole: 'Resources', *, weight: float) -> float:
+        """Return the dominant share of an owner of this weight.
+
+        Dominant resource fairness serves the smallest such share first. The
+        share of an owner of weight 0 is infinite.
+        """
+        if not weight:
+            return float('inf')
+        return self.dominant_share(whole) / weight
+
 
 NO_RESOURCES = Resources(milli_cores=0, memory_mib=0)
 
