Own the slices of services that the configuration no longer names

Change: a slice with a lease needs an owner until its owner has retired it, 60 s after its last job has expired and while it isn't configured. A job that is stored for a slice without an owner makes the node claim it. Retired slices take no permit routes.

--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -59,6 +59,7 @@
     Member,
     member_key,
 )
+from cyclamentrack.jobs.slice_needs import SliceNeeds, SliceRetirement
 from cyclamentrack.metrics import Metrics
 from cyclamentrack.ports import Peers
 from cyclamentrack.timeouts import LagAwareTimeouts
@@ -159,6 +160,7 @@
         self._claiming: set[PoolName] = set()
         self._due_since: dict[PoolName, float] = {}
         self._lost_at: dict[PoolName, float] = {}
+        self._needs = SliceNeeds(lease_tracker=self.lease_tracker)
         self._renewers: dict[PoolName, LeaseRenewer] = {}
         # An owner reads its permit routes several times in each round, so they
         # are only found again when the members or the owners have changed.
@@ -210,7 +212,7 @@
         now = trio.current_time()
         return [
             pool
-            for pool in self.configuration.pools
+            for pool in self._needs.pools(self.configuration)
             if pool not in self.owners
             and not self.lease_tracker.is_renewed(pool, now=now)
         ]
@@ -219,6 +221,8 @@
         self, pool: PoolName, message: JobStored | CancelStored
     ) -> None:
         """Notify the owner of a slice of a stored request, without waiting."""
+        if isinstance(message, JobStored):
+            self._needs.note_stored(pool)
         owner = self.owners.get(pool)
         if owner is not None:
             match message:
@@ -269,8 +273,8 @@
         that no two owners queue on the same route.
         """
         owners = {
-            known: seen.lease.node
-            for known, seen in self.lease_tracker.seen.items()
+            known: self.lease_tracker.seen[known].lease.node
+            for known in self.lease_tracker.unretired()
         }
         if owners != self._routed_owners:
             self._routed_owners = owners
@@ -454,7 +458,7 @@
         await self.lease_tracker.loaded.wait()
         while True:
             if not self.leaving and self.configuration is not None:
-                for pool in self.configuration.pools:
+                for pool in self._needs.pools(self.configuration):
                     self._claim_if_due(pool, nursery)
             changed = self.lease_tracker.changed
             with trio.move_on_after(_CLAIM_CHECK_S):
@@ -585,6 +589,17 @@
                 nursery.start_soon(owner.run)
                 nursery.start_soon(self._renew, owner, renewer)
                 nursery.start_soon(self._transfer_to_larger_node, owner)
+                nursery.start_soon(
+                    SliceRetirement(
+                        owner=owner,
+                        renewer=renewer,
+                        configuration=lambda: (
+                            self.configuration
+                            if self.configuration_is_current
+                            else None
+                        ),
+                    ).run
+                )
         except* (OwnershipLostError, OrderFencedError) as lost:
             _log.warning(
                 'slice lost pool=%s token=%d why=%s',
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -7,7 +7,7 @@
 
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 import trio
@@ -103,6 +103,12 @@
             return False
         return now - seen.changed_at <= LEASE_EXPIRY_S
 
+    def unretired(self) -> Iterator[PoolName]:
+        """Return the pools that have a lease and haven't been retired."""
+        for pool, seen in self.seen.items():
+            if not seen.lease.retired:
+                yield pool
+
     def waiting(
         self, pool: PoolName, *, now: float
     ) -> dict[QueueName, int] | None:
@@ -121,7 +127,7 @@
         got the last ones, and lacks the queue.
         """
         seen = self.seen.get(pool)
-        if seen is None:
+        if seen is None or seen.lease.retired:
             return False
         return queue in seen.counts or seen.counted_after < settled_at
 
@@ -322,12 +328,15 @@
             )
         return True
 
-    async def release(self) -> None:
-        """Mark the lease as released, so that any node may claim the slice."""
+    async def release(self, *, retired: bool = False) -> None:
+        """Mark the lease as released, so that any node may claim the slice.
+
+        One that is ``retired`` is claimed only once it is needed again.
+        """
         async with self._write_lock:
             written = False
             while not written:
-                written = await self._write(released=True)
+                written = await self._write(released=True, retired=retired)
 
     async def _write(self, **changes: object) -> bool:
         """Write the lease once; return whether the write took effect.
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -32,7 +32,8 @@
 class Lease(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """The lease of a slice, renewed while its owner is alive.
 
-    ``released`` means that the owner has given the slice up. ``waiting``
+    ``released`` means that the owner has given the slice up, and ``retired``
+    that it had nothing left and wasn't configured any more. ``waiting``
     counts by queue the jobs of which no task has started; it is ``None`` until
     the owner has recovered. ``shapes`` are the shapes of all workers that the
     pool has had, at most ``MAX_SHAPES``.
@@ -43,6 +44,7 @@
     address: str
     number: int
     released: bool = False
+    retired: bool = False
     waiting: dict[QueueName, int] | None = None
     shapes: tuple[Shape, ...] = ()
 
