--- a/features/processes/cell.py
+++ b/features/processes/cell.py
@@ -28,6 +28,7 @@
 ADVISED = '/advised/'
 KEPT = '/kept/'
 ROUTES = {PLAIN: POOLS[0], ADVISED: POOLS[0], KEPT: POOLS[1]}
+_LIMITS = {'CpuShare': 0.5, 'Cores': 2, 'MemoryMb': 300}
 _READY_S = 60
 _RESTART_S = 0.3
 _LAG_S = 0.5
@@ -79,7 +80,7 @@
             'Zone': 'z1',
             'Listen': {'Front': self.front, 'Readiness': self._readiness},
             'PortRange': [self.peer_port, self.peer_port],
-            'Limits': {'CpuShare': 0.5, 'Cores': 2, 'MemoryMb': 300},
+            'Limits': {**_LIMITS, **self._cell.limits},
             'Bounds': BOUNDS,
             'Advice': advice,
             'platform': {'Address': store, 'form': 'table', 'RowBytes': 65536},
@@ -128,9 +129,13 @@
 
 
 class Cell:
-    """Three nodes, their workers, the store, the advice and their clients."""
+    """Nodes, their workers, the store, the advice and their clients.
 
-    def __init__(self, *, workers, annex=0):
+    ``limits`` replaces or adds limits of the nodes' settings files.
+    """
+
+    def __init__(self, *, workers, annex=0, nodes=NODES, limits=None):
+        self.limits = limits or {}
         self.folder = Path(tempfile.mkdtemp(prefix='soak-'))
         self.judge = Judge()
         self.links = Links()
@@ -142,10 +147,10 @@
             Worker(name, POOLS[number >= workers], self, 1 - number / 200)
             for number, name in enumerate(names)
         ]
-        ports = _free_ports(3 * len(NODES))
+        ports = _free_ports(3 * len(nodes))
         self.nodes = {
-            name: Node(name, self, ports[number :: len(NODES)])
-            for number, name in enumerate(NODES)
+            name: Node(name, self, ports[number :: len(nodes)])
+            for number, name in enumerate(nodes)
         }
         self._tasks = []
         self._version = 0
