Keep callers within the memory and the descriptors of a process

Cause: a node buffered what any number of clients sent, and took a body whose connection ended early for a complete request. Limits follow from MemoryMb and MaxFds. A POST or DELETE that is cut short is dropped. A node ends with status 0 under three attacks.

--- a/features/platform/adapter.feature
+++ b/features/platform/adapter.feature
@@ -186,6 +186,17 @@
     When settings with 4100 descriptors are read
     Then 60 feeds of a table may wait
 
+  Scenario Outline: What callers may take follows from memory and descriptors
+    When settings with <memory> MB and <count> descriptors are read
+    Then callers may open <connections> connections and send <mb> MB
+
+    Examples: machines
+      | memory | count | connections | mb   |
+      | 160    | 4100  | 426         | 10   |
+      | 552    | 4100  | 1472        | 34.5 |
+      | 552    | 328   | 64          | 34.5 |
+      | 0      | 0     | 412         | 10   |
+
   Scenario: A process with few descriptors may wait for two feeds of a table
     When settings with 328 descriptors are read
     Then 2 feeds of a table may wait
--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -38,6 +38,17 @@
     Then the caller gets status 413
     And no further job is stored
 
+  Scenario Outline: A request whose connection ends before its body does is none (<method>)
+    When a caller sends POST "/lookups/00000000000000ab" with body {"Steps":[{"Count":1,"Cpu":100,"MemMb":10,"EstimateMs":500}]}
+    And the connection of a <method> of job "<job>" ends within its body
+    Then the caller gets no answer
+    And the only job that is stored, and not cancelled, is "00000000000000ab"
+
+    Examples: methods
+      | method | job              |
+      | POST   | 00000000000000aa |
+      | DELETE | 00000000000000ab |
+
   Scenario: A job that no row of the store can hold is refused with the limit
     When a caller submits a job of 200 steps with images of 100 bytes
     Then the caller gets status 413
--- a/features/processes/hostile.py
+++ b/features/processes/hostile.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import signal
 import socket
 from itertools import cycle
 from pathlib import Path
@@ -27,6 +28,7 @@
 # A client gives up sending if nothing has been taken for this long.
 _STUCK_S = 3.0
 _CONNECT_S = 10.0
+_END_S = 60.0
 _SAMPLE_S = 0.1
 _ASKS = 60
 _JOB = '{:016x}'
@@ -211,6 +213,32 @@
     return visit
 
 
+async def end_under_attack():
+    """Return the exit status of a node that is told to end, ``None`` if late.
+
+    The time allowed is many times the grace period.
+    """
+    cell = Cell(workers=1, nodes=('n0',))
+    try:
+        await cell.open()
+        return await _end(cell, cell.nodes['n0'])
+    finally:
+        await cell.close()
+
+
+async def _end(cell, node):
+    attacker = Attack(cell, node)
+    for play in (attacker.half_open, attacker.pipelined, attacker.stalled):
+        await play()
+    node.outages += 1
+    node.send(signal.SIGTERM)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(_END_S):
+            await node.process.wait()
+    attacker.close()
+    return node.process.returncode
+
+
 async def cut_short(*, chunked):
     """Return the status of a job whose submission was cut short.
 
--- a/features/processes/hostile_clients.feature
+++ b/features/processes/hostile_clients.feature
@@ -22,6 +22,10 @@
     And it stays within its descriptors
     And it serves an ordinary request
 
+  Scenario: A node ends in order while clients hold requests open
+    When a node gets SIGTERM while clients hold bodies, heads and responses
+    Then it has ended with status 0
+
   Scenario Outline: A job whose body is cut short is no job (<framing>)
     Then a job that is cut short by the end of its connection, <framing>, is unknown
 
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -33,6 +33,41 @@
     )
 
 
+@when('the connection of a {method} of job "{job}" ends within its body')
+def cut_short(context, method, job):
+    body = b'{"Steps":[{"Count":1,"Cpu":100,"MemMb":10,"EstimateMs":500}]}'
+    messages = [
+        {'type': 'http.disconnect'},
+        {'type': 'http.request', 'body': body, 'more_body': True},
+    ]
+    context.sent = []
+
+    async def receive():
+        return messages.pop()
+
+    async def send(message):
+        context.sent.append(message)
+
+    scope = {
+        'type': 'http',
+        'method': method,
+        'path': f'/lookups/{job}',
+        'headers': [(b'host', b'h')],
+    }
+    context.jobs.loop.run(context.frontend.callers, scope, receive, send)
+
+
+@then('the caller gets no answer')
+def check_no_answer(context):
+    assert not context.sent, context.sent
+
+
+@then('the only job that is stored, and not cancelled, is "{job}"')
+def check_only_job(context, job):
+    keys = [key.key for key in _stored_jobs(context)]
+    assert keys == [job], keys
+
+
 @step('a caller sends {method} "{target}" with body {body}')
 def send(context, method, target, body):
     payload = b'' if body == '-' else body.encode()
--- a/features/steps/hostile_steps.py
+++ b/features/steps/hostile_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from features.processes.hostile import attack, cut_short
+from features.processes.hostile import attack, cut_short, end_under_attack
 
 _KB_PER_MB = 1024
 _UNKNOWN = 410
@@ -36,6 +36,16 @@
     context.visit = asyncio.run(attack(_ATTACKS[name], limits=limits))
 
 
+@when('a node gets SIGTERM while clients hold bodies, heads and responses')
+def end_node(context):
+    context.status = asyncio.run(end_under_attack())
+
+
+@then('it has ended with status {status:d}')
+def check_status_of_end(context, status):
+    assert context.status == status, context.status
+
+
 @then('its process lives and stays within its memory')
 def check_process(context):
     visit = context.visit
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -25,6 +25,19 @@
     _read_settings(context, {**_SETTINGS, 'Limits': {'MaxFds': count}})
 
 
+@when('settings with {memory:d} MB and {count:d} descriptors are read')
+def read_memory(context, memory, count):
+    limits = {'MaxFds': count, 'MemoryMb': memory}
+    _read_settings(context, {**_SETTINGS, 'Limits': limits})
+
+
+@then('callers may open {connections:d} connections and send {size:g} MB')
+def check_intake(context, connections, size):
+    intake = context.answer.unwrap().limits.intake
+    assert intake.connections == connections, intake
+    assert intake.request_bytes == size * (1 << 20), intake
+
+
 @then('{count:d} feeds of a table may wait')
 def check_feeds(context, count):
     assert context.answer.unwrap().limits.feeds == count, context.answer
