Refuse jobs that would be worth nothing behind the present backlog

Cause: a pool accepted everything, and what it accepted during a burst ended too late to be worth anything, long after the burst.

--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -243,6 +243,7 @@
             permit=permit,
         )
         self.placed += 1
+        self.task_started(task)
         self.registry.jobs[task.name.job].started = True
         ends_at = self.now + self.work_s(task.placement)
         heapq.heappush(self._ends, (ends_at, self.placed, task.placement))
@@ -275,6 +276,9 @@
         """Return how long a run takes."""
         return self.registry.step_of(placement.task).step.estimate_s
 
+    def task_started(self, task: TaskRun) -> None:
+        """Note that a task has started."""
+
     def job_ended(self, job: JobId) -> None:
         """Note that a job has ended."""
 
--- a/features/harness/uneven.py
+++ b/features/harness/uneven.py
@@ -14,11 +14,14 @@
 import msgspec
 
 from cyclamentrack.jobs.accounts import AccountName
+from cyclamentrack.jobs.admission import PoolFigures, refusal, retry_after_s
+from cyclamentrack.jobs.backlog import Backlog
+from cyclamentrack.jobs.capacity_index import total
 from cyclamentrack.jobs.critical_path import compute_critical_path
 from cyclamentrack.jobs.fair_share import AccountRates
 from cyclamentrack.jobs.model import Job, JobId, Queue, Step
 from cyclamentrack.jobs.permits import PermitCache, PermitCall
-from cyclamentrack.jobs.registry import Placement
+from cyclamentrack.jobs.registry import Placement, TaskRun
 from cyclamentrack.resources import Resources
 from features.harness.fullpool import POOL, FullPool, Kind, make_kind
 
@@ -34,6 +37,8 @@
 # Share of the usual load that all bursting accounts send together.
 _LARGE_SHARE = 0.4
 _WEIGHT_FACTOR = 1.5
+_RENEW_S = 0.5
+_FIGURES_AGE_S = 2.0
 _SPEEDS = (1.0, 1.1, 1.2, 1.3)
 
 LOOKUPS = make_kind(
@@ -103,6 +108,11 @@
     attempts: int = 0
     verdict: str = ''
 
+    @property
+    def verdict_if_worthless(self) -> str:
+        """What the caller got if the job is worth nothing to it."""
+        return 'refused' if self.attempts > 1 else 'worthless'
+
     def finish(self, now: float) -> None:
         """Note when the job ended."""
         took_s = now - self.first_at
@@ -111,7 +121,7 @@
         elif took_s <= _LATE_FACTOR * self.objective_s:
             self.verdict = 'late'
         else:
-            self.verdict = 'worthless'
+            self.verdict = self.verdict_if_worthless
 
 
 def value(verdicts: Counter) -> float:
@@ -124,9 +134,21 @@
     """Plays a load with accounts and records what each caller got."""
 
     def __init__(
-        self, load: UnevenLoad, *, weight: Callable[[int], float] | None = None
+        self,
+        load: UnevenLoad,
+        *,
+        weight: Callable[[int], float] | None = None,
+        admission: bool = False,
     ) -> None:
-        """Start an empty pool; ``weight`` is by number of the account."""
+        """Start an empty pool; ``weight`` is by number of the account.
+
+        Without ``admission`` every job is accepted.
+        """
+        self._admission = admission
+        self._figures: PoolFigures | None = None
+        self._published_at = 0.0
+        self.refusals: Counter[str] = Counter()
+        self.errors_s: list[float] = []
         self._load = load
         self._began_at = 100.0
         self._draws = random.Random(load.seed)
@@ -145,9 +167,17 @@
             round_s=0.04,
             seed=load.seed,
         )
+        self.backlog = Backlog(registry=self.registry)
         self._routes = max(int(_PERMIT_ROUTES * load.scale), 2)
         self._draw_arrivals()
 
+    @property
+    def _recording(self) -> bool:
+        """Whether the store answers, so that starts may be decided."""
+        return not any(
+            since <= self.at_s < until for since, until in self._load.outages
+        )
+
     @property
     def at_s(self) -> float:
         """Seconds since the day began."""
@@ -171,13 +201,11 @@
         """Play until the last job's caller has lost interest."""
         while self.at_s < _DAY_S + _AFTER_S:
             self.advance()
-            if not any(
-                since <= self.at_s < until
-                for since, until in self._load.outages
-            ):
+            if self._recording:
+                self._publish()
                 self.decide()
         for request in self.requests:
-            request.verdict = request.verdict or 'worthless'
+            request.verdict = request.verdict or request.verdict_if_worthless
 
     def verdicts(self, chosen: Callable[[Request], bool]) -> Counter:
         """Count what the callers of some requests got."""
@@ -219,9 +247,18 @@
         true_s = self.by_job[task.job].work_s[task.step]
         return true_s * _SPEEDS[worker // len(_SPEEDS) % len(_SPEEDS)]
 
+    def task_started(self, task: TaskRun) -> None:
+        """Count the start towards the rate, and the error of its job."""
+        entry = self.registry.jobs[task.name.job]
+        step = entry.job.steps[task.name.step]
+        error_s = self.backlog.note_start(entry, step, self.now)
+        if error_s is not None:
+            self.errors_s.append(error_s)
+
     def job_ended(self, job: JobId) -> None:
         """Tell the job's caller."""
         self.by_job[job].finish(self.now)
+        self.backlog.forget(job)
 
     def _finish_call(self, call: PermitCall) -> None:
         entry = self.registry.jobs.get(call.step.job)
@@ -229,14 +266,45 @@
             self.record_call(call, entry.queue)
 
     def _submit_request(self, request: Request) -> None:
+        request.attempts += 1
+        current = self.now - self._published_at <= _FIGURES_AGE_S
+        figures = self._figures if self._admission and current else None
+        why = refusal(request.job, figures)
+        if why is not None:
+            self.refusals[why.value] += 1
+            self._refuse(request)
+            return
         entry = self.registry.admit(
             job=request.job, queue=request.queue, now=self.now
         )
         entry.within_rate = self.rates.admit(
             request.job.account, arrived_at=self.now
         )
+        self.backlog.note_arrival(entry)
         self.registry.open_due_steps(entry, now=self.now, wall_s=self.now)
 
+    def _refuse(self, request: Request) -> None:
+        if request.attempts >= _MAX_ATTEMPTS:
+            request.verdict = 'refused'
+            return
+        again_at = self.now + retry_after_s(request.job.id, self._figures)
+        heapq.heappush(
+            self._arrivals, (again_at, self._draws.getrandbits(40), request)
+        )
+
+    def _publish(self) -> None:
+        """Publish the owner's figures as often as it renews its lease."""
+        if self.now < self._published_at + _RENEW_S:
+            return
+        self._published_at = self.now
+        self._figures = self.backlog.figures(
+            self.now,
+            whole=total(
+                one.entry.capacity for one in self.fleet.workers.values()
+            ),
+            far_beyond=self.rates.far_beyond(self.now),
+        )
+
     def _draw_arrivals(self) -> None:
         step_s = 0.1
         for tick in range(int(_DAY_S / step_s)):
@@ -278,6 +346,7 @@
             payload='',
             steps=tuple(steps),
             accepted_at_s=0,
+            terms=kind.queue,
             account=AccountName(f'a{account}'),
         )
         path = compute_critical_path(
--- /dev/null
+++ b/packages/cyclamentrack/cyclamentrack/jobs/admission.py
@@ -0,0 +1,128 @@
+"""Admission control: which jobs a node refuses before it stores them.
+
+The owner of a pool predicts how long a new job of each queue waits for its
+first start, and publishes that in its lease. While the pool is overloaded, a
+node refuses a job that would be worth nothing when it ends: by a clear margin,
+or without one if its account is far beyond its rate. This is made for accounts
+that send several times their usual for seconds: what is accepted then ends too
+late to be worth anything, long after the burst.
+
+A job that would only end late is accepted. In the load test, refusing these
+for accounts far beyond their rate lost more jobs that would have ended in time.
+"""
+
+import enum
+import math
+import zlib
+
+import msgspec
+
+from cyclamentrack.jobs.accounts import AccountName
+from cyclamentrack.jobs.critical_path import compute_critical_path
+from cyclamentrack.jobs.model import Job, JobId, Queue, QueueName
+from cyclamentrack.jobs.order import LATE_FACTOR, Prospect
+from cyclamentrack.resources import Resources
+
+# Estimates are off by a factor of up to 1.9, so a job of an account within its
+# rate, or of none, is only refused if it would end this many times too late.
+# A refusal that wasn't needed costs its caller more than a late job.
+_CLEAR_MARGIN = 2.0
+_MAX_RETRY_AFTER_S = 30
+
+
+class QueueWaits(msgspec.Struct, frozen=True, array_like=True):
+    """Predicted seconds until a new job of a queue starts.
+
+    The first wait is behind the jobs that can still end in time, the second
+    one behind late ones too. ``beyond`` are those of jobs beyond their
+    account's rate.
+    """
+
+    queue: QueueName
+    in_time_s: float
+    late_s: float
+    beyond_in_time_s: float
+    beyond_late_s: float
+
+
+class PoolFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """What the owner of a pool publishes for admission control.
+
+    A queue without ``waits`` has no backlog ahead of it. ``clear_s`` is how
+    long the present backlog takes, and ``far_beyond`` are accounts that
+    have sent far more than their rate.
+    """
+
+    capacity: Resources
+    overloaded: bool = False
+    clear_s: float = 0.0
+    waits: tuple[QueueWaits, ...] = ()
+    far_beyond: tuple[AccountName, ...] = ()
+
+    def waits_of(self, queue: QueueName) -> QueueWaits | None:
+        """Return the waits of a queue, ``None`` without a backlog."""
+        return next((one for one in self.waits if one.queue == queue), None)
+
+
+class Refusal(enum.Enum):
+    """Why a job that would be worth nothing is refused."""
+
+    WORTHLESS = 'worthless'
+    BEYOND_RATE = 'beyond rate'
+
+
+def outlook(
+    job: Job, queue: Queue, figures: PoolFigures, *, margin: float = 1.0
+) -> Prospect:
+    """Return what a new job will be worth when it ends.
+
+    The job counts as late or worthless only if it would end ``margin`` times
+    after the time allowed.
+    """
+    waits = figures.waits_of(queue.name)
+    if waits is None:
+        return Prospect.IN_TIME
+    in_time_s, late_s = waits.in_time_s, waits.late_s
+    if job.account in figures.far_beyond:
+        in_time_s, late_s = waits.beyond_in_time_s, waits.beyond_late_s
+    path_s = compute_critical_path(
+        job,
+        permits=queue.permits,
+        capacity=lambda step: step.need.times_in(figures.capacity),
+        task_s=[step.estimate_s for step in job.steps],
+    ).total_s
+    allowed_s = margin * (queue.target_s + queue.stretch * path_s)
+    if in_time_s + path_s <= allowed_s:
+        return Prospect.IN_TIME
+    if max(in_time_s, late_s) + path_s <= LATE_FACTOR * allowed_s:
+        return Prospect.LATE
+    return Prospect.WORTHLESS
+
+
+def refusal(job: Job, figures: PoolFigures | None) -> Refusal | None:
+    """Return why a new job is refused, ``None`` if it is accepted.
+
+    Lasting tasks and jobs with due times are always accepted, since they have
+    no objective that counts from now.
+    """
+    queue = job.terms
+    if figures is None or queue is None or not figures.overloaded:
+        return None
+    if job.timed or any(step.lasting for step in job.steps):
+        return None
+    far_beyond = job.account in figures.far_beyond
+    margin = 1.0 if far_beyond else _CLEAR_MARGIN
+    if outlook(job, queue, figures, margin=margin) < Prospect.WORTHLESS:
+        return None
+    return Refusal.BEYOND_RATE if far_beyond else Refusal.WORTHLESS
+
+
+def retry_after_s(job: JobId, figures: PoolFigures | None) -> int:
+    """Return when a refused caller should try again, in whole seconds.
+
+    That is when the backlog will be cleared, and up to as much later, by the
+    job's id, so that callers don't all come back at once.
+    """
+    clear_s = figures.clear_s if figures else 0.0
+    least = min(max(math.ceil(clear_s), 1), _MAX_RETRY_AFTER_S)
+    return least + zlib.crc32(job.encode()) % least
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -622,13 +622,17 @@
     ) -> bool:
         waiting = None
         shapes: tuple[Shape, ...] = ()
+        figures = None
         if owner.recovered.is_set():
             waiting = owner.registry.waiting()
             shapes = owner.fleet.shapes
+            figures = owner.figures()
         with self.dependencies.timeouts.limit(_RENEW_TIMEOUT_S):
             requested_at = owner.quorum.now
             try:
-                if await renewer.renew(waiting=waiting, shapes=shapes):
+                if await renewer.renew(
+                    waiting=waiting, shapes=shapes, figures=figures
+                ):
                     owner.quorum.confirm(requested_at)
             except (StoreUncertainError, StoreRefusedError) as error:
                 _log.warning(
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -15,6 +15,7 @@
 from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.admission import PoolFigures
 from cyclamentrack.jobs.journal import Head, OwnershipLostError, head_key
 from cyclamentrack.jobs.model import MAX_SHAPES, QueueName, Shape, Token
 from cyclamentrack.jobs.ports import (
@@ -108,6 +109,15 @@
             return None
         return seen.lease.waiting
 
+    def figures(self, pool: PoolName, *, now: float) -> PoolFigures | None:
+        """Return the figures for admission, ``None`` without recent ones."""
+        seen = self.seen.get(pool)
+        if seen is None or seen.lease.released:
+            return None
+        if now - seen.written_after > _COUNT_AGE_S:
+            return None
+        return seen.lease.figures
+
     async def refresh(self, pool: PoolName) -> None:
         """Read one lease now instead of waiting for the feed.
 
@@ -291,6 +301,7 @@
         *,
         waiting: dict[QueueName, int] | None,
         shapes: tuple[Shape, ...] = (),
+        figures: PoolFigures | None = None,
     ) -> bool:
         """Renew the lease once; without ``waiting`` its count stays as it is.
 
@@ -305,6 +316,7 @@
             await self._write(
                 waiting=self._lease.waiting if waiting is None else waiting,
                 shapes=_merge_shapes(self._lease.shapes, shapes),
+                figures=figures,
             )
         return True
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/fair_share.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fair_share.py
@@ -21,6 +21,8 @@
 # An account that sends a job less often than once in ``_BURST_S`` may still
 # send it.
 _LEAST_BURST = 1.0
+# An account is far beyond its rate with this many bursts in excess.
+_FAR_BEYOND = 2.0
 
 AccountWeight = Callable[[AccountName], float | None]
 """Returns the weight of an account, ``None`` if no account has this name."""
@@ -34,9 +36,14 @@
 
 
 class _Bucket(msgspec.Struct, kw_only=True, eq=False):
-    """Token bucket of one account: the jobs that it may send now."""
+    """Token bucket of one account: the jobs that it may send now.
+
+    ``excess`` counts the jobs beyond the rate. They are paid off at the rate
+    too, so it only grows while the account sends twice its weight.
+    """
 
     tokens: float
+    excess: float = 0.0
     filled_at: float
 
 
@@ -62,24 +69,47 @@
             return True
         bucket = self._filled(account, weight, arrived_at)
         if bucket.tokens < 1:
+            bucket.excess += 1
             return False
         bucket.tokens -= 1
         return True
 
+    def far_beyond(self, now: float) -> tuple[AccountName, ...]:
+        """Return the accounts that have sent far more than their rate.
+
+        Accounts send independent jobs in clusters, so one that sends its usual
+        is now and then beyond its rate, but not for long.
+        """
+        found = []
+        for account in self._buckets:
+            weight = self._weight(account)
+            if weight is None:
+                continue
+            bucket = self._filled(account, weight, now)
+            if bucket.excess > _FAR_BEYOND * _burst(weight):
+                found.append(account)
+        return tuple(found)
+
     def _filled(
         self, account: AccountName, weight: float, now: float
     ) -> _Bucket:
-        burst = max(weight * _BURST_S, _LEAST_BURST)
+        burst = _burst(weight)
         bucket = self._buckets.get(account)
         if bucket is None:
             bucket = _Bucket(tokens=burst, filled_at=now)
             self._buckets[account] = bucket
         passed_s = max(now - bucket.filled_at, 0.0)
         bucket.tokens = min(bucket.tokens + passed_s * weight, burst)
+        bucket.excess = max(bucket.excess - passed_s * weight, 0.0)
         bucket.filled_at = max(now, bucket.filled_at)
         return bucket
 
 
+def _burst(weight: float) -> float:
+    """Return how many jobs an account may send at once."""
+    return max(weight * _BURST_S, _LEAST_BURST)
+
+
 def account_shares(
     *, registry: JobRegistry, workers: Iterable[Worker], weight: AccountWeight
 ) -> dict[AccountName, float]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -287,6 +287,7 @@
             job.account or 'none',
             'within' if entry.within_rate else 'beyond',
         )
+        self._owner.backlog.note_arrival(entry)
         self._continue_job(entry)
 
     def _rate(self, entry: JobRun) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/order.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/order.py
@@ -22,7 +22,7 @@
 from cyclamentrack.jobs.registry import JobRun, StepRun, TaskRun
 
 # A job that ends within this many times its objective is still worth a part.
-_LATE_FACTOR = 3.0
+LATE_FACTOR = 3.0
 # Each lower priority level counts as starting this much later: about the time
 # in which a whole worker becomes free for a gang.
 _PRIORITY_S = 5.0
@@ -57,7 +57,7 @@
     if now <= latest:
         return Prospect.IN_TIME
     allowed = entry.due_by - entry.arrived_at
-    if now <= latest + (_LATE_FACTOR - 1.0) * allowed:
+    if now <= latest + (LATE_FACTOR - 1.0) * allowed:
         return Prospect.LATE
     return Prospect.WORTHLESS
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -15,6 +15,9 @@
 from cyclamentrack.codec import encode
 from cyclamentrack.ids import PoolName, WorkerId
 from cyclamentrack.jobs.accounts import AccountName
+from cyclamentrack.jobs.admission import PoolFigures
+from cyclamentrack.jobs.backlog import Backlog
+from cyclamentrack.jobs.capacity_index import total
 from cyclamentrack.jobs.crashes import CrashedRun, is_hopeless, suspect
 from cyclamentrack.jobs.dispatch import Dispatcher
 from cyclamentrack.jobs.fair_share import AccountRates
@@ -126,6 +129,7 @@
         self.account_rates = AccountRates(weight=self.account_weight)
         self.journal = journal
         journal.on_refused = self._give_up_unrecorded
+        self.backlog = Backlog(registry=self.registry)
         self.loop_load = LoopLoad(
             pool=claim.pool, clock=dependencies.steady_clock
         )
@@ -216,6 +220,16 @@
         account = configuration and configuration.account_index.named(name)
         return account.weight if account else None
 
+    def figures(self) -> PoolFigures:
+        """Return the present figures for admission control."""
+        now = trio.current_time()
+        workers = self.fleet.workers.values()
+        return self.backlog.figures(
+            now,
+            whole=total(one.entry.capacity for one in workers if one.listed),
+            far_beyond=self.account_rates.far_beyond(now),
+        )
+
     def typical_s(self, step: StepRun) -> float:
         """Return the expected duration of one task of a step, 0 if unknown."""
         entry = self.registry.jobs.get(step.name.job)
@@ -332,6 +346,7 @@
         """Set a job's final state and stop its remaining runs."""
         if entry.state is not None:
             return
+        self.backlog.forget(entry.job.id)
         _log.info('job closed job=%s state=%s', entry.job.id, state.value)
         closed = self.registry.close(
             entry, state=state, wall_s=self._dependencies.wall_clock()
@@ -611,9 +626,18 @@
             resumed=bool(task.checkpoint),
         )
         task.placement = placement
-        self.registry.jobs[task.name.job].placed_once = True
+        entry = self.registry.jobs[task.name.job]
+        entry.placed_once = True
+        self._note_start(entry, assigned.step)
         return placement
 
+    def _note_start(self, entry: JobRun, step: StepRun) -> None:
+        """Learn from a start how long jobs wait."""
+        error_s = self.backlog.note_start(entry, step.step, trio.current_time())
+        if error_s is not None:
+            sign = 'early' if error_s < 0 else 'late'
+            self.metrics.observe(f'start_predicted_{sign}', abs(error_s))
+
     def _count_waiting(self) -> int:
         return sum(self.registry.waiting().values())
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -49,7 +49,8 @@
     and won't be; ``UNKNOWN`` that it may have been; ``NOT_FOUND`` that there is
     no such job; ``IMPOSSIBLE`` that no worker of the pool is large enough for
     one of its tasks; ``TOO_LARGE`` that no row of the store can hold the job;
-    ``TAKEN`` that the id is that of another queue's job.
+    ``TAKEN`` that the id is that of another queue's job; ``OVERLOADED`` that it
+    was not stored, since it would end too late to be worth anything.
     """
 
     STORED = 'kept'
@@ -59,6 +60,7 @@
     IMPOSSIBLE = 'impossible'
     TOO_LARGE = 'too large'
     TAKEN = 'taken'
+    OVERLOADED = 'overloaded'
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.admission import PoolFigures
 from cyclamentrack.jobs.model import (
     InstanceId,
     JobId,
@@ -34,7 +35,9 @@
     ``released`` means that the owner has given the slice up. ``waiting``
     counts by queue the jobs of which no task has started; it is ``None`` until
     the owner has recovered. ``shapes`` are the shapes of all workers that the
-    pool has had, at most ``MAX_SHAPES``.
+    pool has had, at most ``MAX_SHAPES``. ``figures`` are those of admission
+    control, ``None`` in leases of earlier versions and until the owner has
+    recovered.
     """
 
     node: str
@@ -44,6 +47,7 @@
     released: bool = False
     waiting: dict[QueueName, int] | None = None
     shapes: tuple[Shape, ...] = ()
+    figures: PoolFigures | None = None
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -13,6 +13,11 @@
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.accounts import NO_ACCOUNT, AccountName
+from cyclamentrack.jobs.admission import (
+    PoolFigures,
+    refusal,
+    retry_after_s,
+)
 from cyclamentrack.jobs.cell import JobCell
 from cyclamentrack.jobs.fleet import fits_empty_worker
 from cyclamentrack.jobs.messages import (
@@ -102,6 +107,9 @@
             return await self._refuse(job, RequestOutcome.TOO_LARGE)
         if not self._could_run(job):
             return await self._refuse(job, RequestOutcome.IMPOSSIBLE)
+        found = await self._refuse_if_overloaded(job)
+        if found is not None:
+            return found
         result = await self._writer.write_with_retry(
             batch,
             ForwardSubmit(job=job),
@@ -113,6 +121,10 @@
                 return self._accept_stored(stored, job)
         return result.outcome
 
+    def retry_after_s(self, job: Job) -> int:
+        """Return after how many seconds a refused job may be sent again."""
+        return retry_after_s(job.id, self._figures(job))
+
     async def cancel(
         self,
         *,
@@ -201,6 +213,36 @@
             case _:
                 return OutcomeReply(kept=RequestOutcome.REFUSED.value)
 
+    def _figures(self, job: Job) -> PoolFigures | None:
+        return self._cell.lease_tracker.figures(
+            job.pool, now=trio.current_time()
+        )
+
+    async def _refuse_if_overloaded(self, job: Job) -> RequestOutcome | None:
+        """Return the outcome of a job that admission control refuses.
+
+        Only such a job is looked up in the store. If that fails, the job is
+        accepted, since it may be a repetition.
+        """
+        why = refusal(job, self._figures(job))
+        if why is None:
+            return None
+        outcome = await self._refuse(job, RequestOutcome.OVERLOADED)
+        if outcome is RequestOutcome.UNKNOWN:
+            return None
+        if outcome is RequestOutcome.OVERLOADED:
+            self._cell.dependencies.metrics.count(
+                f'jobs_refused_{why.name.lower()}'
+            )
+            _log.info(
+                'job refused job=%s queue=%s account=%s why=%s',
+                job.id,
+                job.queue,
+                job.account or 'none',
+                why.value,
+            )
+        return outcome
+
     def _accept_stored(self, stored: Job, job: Job) -> RequestOutcome:
         if not stored.origin.matches(job.origin):
             return RequestOutcome.TAKEN
