--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -50,7 +50,8 @@
     no such job; ``IMPOSSIBLE`` that no worker of the pool is large enough for
     one of its tasks; ``OVER_CAP`` that a gang needs more than the cap of its
     account; ``TOO_LARGE`` that no row of the store can hold the job;
-    ``TAKEN`` that the id is that of another queue's job.
+    ``TAKEN`` that the id is that of another queue's job; ``OVERLOADED`` that it
+    was not stored, since it would end too late to be worth anything.
     """
 
     STORED = 'kept'
@@ -61,6 +62,7 @@
     OVER_CAP = 'over cap'
     TOO_LARGE = 'too large'
     TAKEN = 'taken'
+    OVERLOADED = 'overloaded'
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -14,6 +14,11 @@
 from cyclamentrack.errors import PeerUnreachableError, StoreUncertainError
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.accounts import NO_ACCOUNT, AccountName
+from cyclamentrack.jobs.admission import (
+    PoolFigures,
+    refusal,
+    retry_after_s,
+)
 from cyclamentrack.jobs.allotments import gang_fits_cap
 from cyclamentrack.jobs.cell import JobCell
 from cyclamentrack.jobs.fleet import fits_empty_worker
@@ -108,6 +113,9 @@
             return await self._refuse(job, RequestOutcome.IMPOSSIBLE)
         if not self._gangs_fit_cap(job):
             return await self._refuse(job, RequestOutcome.OVER_CAP)
+        found = await self._refuse_if_overloaded(job)
+        if found is not None:
+            return found
         result = await self._writer.write_with_retry(
             batch,
             ForwardSubmit(job=job),
@@ -119,6 +127,10 @@
                 return self._accept_stored(stored, job)
         return result.outcome
 
+    def retry_after_s(self, job: Job) -> int:
+        """Return after how many seconds a refused job may be sent again."""
+        return retry_after_s(job.id, self._figures(job))
+
     async def cancel(
         self,
         *,
@@ -232,6 +244,36 @@
             )
         return result
 
+    def _figures(self, job: Job) -> PoolFigures | None:
+        return self._cell.lease_tracker.figures(
+            job.pool, now=trio.current_time()
+        )
+
+    async def _refuse_if_overloaded(self, job: Job) -> RequestOutcome | None:
+        """Return the outcome of a job that admission control refuses.
+
+        Only such a job is looked up in the store. If that fails, the job is
+        accepted, since it may be a repetition.
+        """
+        why = refusal(job, self._figures(job))
+        if why is None:
+            return None
+        outcome = await self._refuse(job, RequestOutcome.OVERLOADED)
+        if outcome is RequestOutcome.UNKNOWN:
+            return None
+        if outcome is RequestOutcome.OVERLOADED:
+            self._cell.dependencies.metrics.count(
+                f'jobs_refused_{why.name.lower()}'
+            )
+            _log.info(
+                'job refused job=%s queue=%s account=%s why=%s',
+                job.id,
+                job.queue,
+                job.account or 'none',
+                why.value,
+            )
+        return outcome
+
     def _accept_stored(self, stored: Job, job: Job) -> RequestOutcome:
         if not stored.origin.matches(job.origin):
             return RequestOutcome.TAKEN
