Let the kernel drop responses that a client never acknowledges

Cause: a connection that the process has closed keeps its unsent bytes in the kernel for minutes, without a bound on their number. Change: TCP_USER_TIMEOUT of the listeners' connections, equal to the time that a response has. Result: the scenarios of hostile_clients.feature and callers.feature pass; the kernel's memory of closed connections was not measured.

--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/serving.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/serving.py
@@ -23,6 +23,10 @@
 # The kernel doubles both. What it keeps for a connection counts as memory of
 # the machine, and by default grows to megabytes.
 _BUFFER_BYTES = 16 * 1024
+# Linux only: the kernel drops what a client leaves unacknowledged for so long,
+# also after the process has closed the connection.
+_USER_TIMEOUT = getattr(socket, 'TCP_USER_TIMEOUT', None)
+_MS_PER_S = 1000
 
 
 async def serve_http(
@@ -56,7 +60,7 @@
                             context,
                             intake,
                         ),
-                        _listeners(config),
+                        _listeners(config, intake.limits),
                         handler_nursery=connections,
                     )
                 )
@@ -81,12 +85,17 @@
     return config
 
 
-def _listeners(config: Config) -> list[trio.SocketListener]:
+def _listeners(
+    config: Config, limits: IntakeLimits
+) -> list[trio.SocketListener]:
     listeners = []
+    timeout_ms = int(limits.response_s * _MS_PER_S)
     for one in config.create_sockets().insecure_sockets:
         # Connections inherit these from the listening socket.
         one.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES)
         one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _BUFFER_BYTES)
+        if _USER_TIMEOUT is not None:
+            one.setsockopt(socket.IPPROTO_TCP, _USER_TIMEOUT, timeout_ms)
         one.listen(config.backlog)
         listeners.append(
             trio.SocketListener(trio.socket.from_stdlib_socket(one))
