--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -51,7 +51,7 @@
     one of its tasks; ``OVER_CAP`` that a gang needs more than the cap of its
     account; ``TOO_LARGE`` that no row of the store can hold the job;
     ``TAKEN`` that the id is that of another queue's job; ``OVERLOADED`` that it
-    was not stored, since it would end too late to be worth anything.
+    was not stored, since admission control refused it.
     """
 
     STORED = 'kept'
