Read the allotments again only once the former cap is out of force for certain

Change: between the earliest and the latest end of the rollout, seconds after the version was stored, nothing of an account whose cap fell starts; after that the rows must be as of the latest end. A node knows the bounds by its last two answers of the configuration feed (Rollouts in feeds.py).

--- a/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
@@ -73,6 +73,13 @@
 _CONFIGURATION_AGE_SHARE = 0.9
 
 
+class _Read(msgspec.Struct, frozen=True, array_like=True):
+    """From ``since`` on, a row must be known as of ``after`` or later."""
+
+    since: float
+    after: float
+
+
 class AccountState(msgspec.Struct, kw_only=True, eq=False):
     """What an owner knows of the row of an account, and the account's cap.
 
@@ -86,7 +93,7 @@
     row: AccountRow = msgspec.field(default_factory=AccountRow)
     version: int = 0
     uncertain: list[Resources] = msgspec.field(default_factory=list)
-    read_after: list[float] = msgspec.field(default_factory=list)
+    reads: list[_Read] = msgspec.field(default_factory=list)
 
 
 class _Write(msgspec.Struct, frozen=True, kw_only=True):
@@ -211,12 +218,13 @@
         before = former.cap if former else NO_RESOURCES
         state = former or AccountState(cap=cap)
         state.cap = cap
+        rollout = self._dependencies.configuration_rollout()
         if falls(before, cap):
-            learnt_at = self._dependencies.configuration_applied_at()
-            settled_s = self._dependencies.timings.configuration_s
-            for read_after in (learnt_at, learnt_at + settled_s):
-                state.read_after.append(read_after)
-                self._read_after.add(read_after)
+            rollout_s = self._dependencies.timings.configuration_s
+            over_at = rollout.read_at + rollout_s
+            state.reads.append(_Read(rollout.read_at, rollout.read_at))
+            state.reads.append(_Read(rollout.stored_after + rollout_s, over_at))
+            self._read_after.update((rollout.read_at, over_at))
         if noticed is not None and is_introduced(before, cap):
             state.introduced = noticed
         return state
@@ -326,16 +334,14 @@
         """Return whether the row may lack amounts of before the cap fell.
 
         Others may have raised theirs under the former cap until the new one is
-        in force everywhere. So the row must be as of then, and also as of when
-        this owner learnt the new cap, which may have been later.
+        in force everywhere. After that the row must be as of then. The moment
+        isn't known exactly, so nothing starts between its bounds.
         """
-        if not state.read_after:
+        if not state.reads:
             return False
-        state.read_after = [
-            one for one in state.read_after if one > self._as_of
-        ]
+        state.reads = [one for one in state.reads if one.after > self._as_of]
         now = self.now
-        return any(one <= now for one in state.read_after)
+        return any(one.since <= now for one in state.reads)
 
     async def _write_due_rows(self) -> None:
         """Write rows that must change, a few times a second at most."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -20,7 +20,7 @@
     LeaseTracker,
     claim_slice,
 )
-from cyclamentrack.jobs.feeds import FeedHealth
+from cyclamentrack.jobs.feeds import FeedHealth, Rollouts
 from cyclamentrack.jobs.guarded_orders import GuardedOrders
 from cyclamentrack.jobs.journal import Journal, OwnershipLostError
 from cyclamentrack.jobs.member_row import MemberRow
@@ -151,7 +151,9 @@
         )
         self.members_feed = FeedHealth(name='members')
         self.leaving = False
-        self._configuration_applied_at = 0.0
+        self._rollouts = Rollouts(
+            rollout_s=dependencies.timings.configuration_s
+        )
         self._member_row = MemberRow(store=dependencies.store, member=me)
         self._nursery: trio.Nursery | None = None
         self._permit_call_lock = trio.Lock()
@@ -367,7 +369,7 @@
         if current is not None and found.version <= current.version:
             return
         self.configuration = found
-        self._configuration_applied_at = self.configuration_feed.now
+        self._rollouts.note(self.configuration_feed)
         self.configured.set()
         _log.info(
             'configuration in force version=%d queues=%d',
@@ -443,10 +445,10 @@
             except HistoryLostError:
                 version = None
                 continue
-            feed.note_answer(asked_at)
             version = changes.version
             handlers.apply(changes.rows)
             handlers.remove(changes.removed)
+            feed.note_answer(asked_at)
 
     async def _claim_due_slices(self, nursery: trio.Nursery) -> None:
         await self.configured.wait()
@@ -565,7 +567,9 @@
                 steady_clock=dependencies.steady_clock,
                 suspended_s=dependencies.suspended_s,
                 configuration_age_s=lambda: self.configuration_feed.unknown_s,
-                configuration_applied_at=lambda: self._configuration_applied_at,
+                configuration_rollout=lambda: self._rollouts.recent(
+                    self.configuration_feed.now
+                ),
                 row_bytes=dependencies.row_bytes,
             ),
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
@@ -4,17 +4,29 @@
 import math
 from collections.abc import Callable
 
+import msgspec
 import trio
 
 _log = logging.getLogger(__name__)
 
 
+class Rollout(msgspec.Struct, frozen=True, kw_only=True):
+    """When a version of the configuration was stored, and read by this node.
+
+    Times are readings of ``FeedHealth.now``.
+    """
+
+    stored_after: float = -math.inf
+    read_at: float = -math.inf
+
+
 class FeedHealth:
     """Whether the store answers a feed, and when it did so last.
 
     The first failure in a row and the answer that ends it are logged. Times
     are in seconds of trio's clock; the age also counts the time in which the
-    machine was suspended, which ``suspended_s`` returns.
+    machine was suspended, which ``suspended_s`` returns. All changes from
+    before ``known_at``, an earlier reading of ``now``, have been taken over.
     """
 
     def __init__(
@@ -25,7 +37,7 @@
         self._suspended_s = suspended_s
         self._suspended_before_s = 0.0
         self._answered_at: float | None = None
-        self._known_at: float | None = None
+        self.known_at = -math.inf
         self._lost_at: float | None = None
         self._failures = 0
 
@@ -37,9 +49,7 @@
     @property
     def unknown_s(self) -> float:
         """Seconds for which changes may have been made that aren't known."""
-        if self._known_at is None:
-            return math.inf
-        return self.now - self._known_at
+        return self.now - self.known_at
 
     @property
     def age_s(self) -> float | None:
@@ -52,10 +62,10 @@
     def note_answer(self, asked_at: float | None = None) -> None:
         """Record an answer, including one without changes.
 
-        All changes from before ``asked_at``, a reading of ``now``, are known.
+        ``asked_at`` is the reading of ``now`` before the call.
         """
         if asked_at is not None:
-            self._known_at = asked_at
+            self.known_at = asked_at
         self._answered_at = trio.current_time()
         self._suspended_before_s = self._suspended_s()
         if self._lost_at is None:
@@ -75,3 +85,32 @@
         if self._lost_at is None:
             self._lost_at = trio.current_time()
             _log.warning('feed lost feed=%s: %s', self._name, error)
+
+
+class Rollouts:
+    """The versions of the configuration that may still be rolled out.
+
+    A version is in force everywhere ``rollout_s`` after it was stored.
+    """
+
+    def __init__(self, *, rollout_s: float) -> None:
+        """Start before the first version."""
+        self._rollout_s = rollout_s
+        self._recent = [Rollout()]
+
+    def note(self, feed: FeedHealth) -> None:
+        """Record that a version is being read from the feed."""
+        self._recent.append(
+            Rollout(stored_after=feed.known_at, read_at=feed.now)
+        )
+
+    def recent(self, now: float) -> Rollout:
+        """Return bounds for the last version and all that are rolled out."""
+        over = now - self._rollout_s
+        last = self._recent[-1]
+        found = [one for one in self._recent if one.read_at > over]
+        self._recent = found or [last]
+        return Rollout(
+            stored_after=min(one.stored_after for one in self._recent),
+            read_at=last.read_at,
+        )
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -17,6 +17,7 @@
 from cyclamentrack.jobs.account_caps import AccountCaps
 from cyclamentrack.jobs.crashes import CrashedRun, is_hopeless, suspect
 from cyclamentrack.jobs.dispatch import Dispatcher
+from cyclamentrack.jobs.feeds import Rollout
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
 from cyclamentrack.jobs.journal import Journal
@@ -107,9 +108,9 @@
     suspended_s: Callable[[], float]
     row_bytes: int = DEFAULT_ROW_BYTES
     # How long a newer configuration may have been stored without being known
-    # here, and when the known one was read, seconds including suspended time.
+    # here, and when the known one was stored.
     configuration_age_s: Callable[[], float] = float
-    configuration_applied_at: Callable[[], float] = float
+    configuration_rollout: Callable[[], Rollout] = Rollout
 
 
 class SliceOwner:
