Test falls and new caps while an owner reads the rows late

Cause: variants of the code that don't wait for the other owners' usage, or for a newer row after a fall, passed the scenarios.

Change: two scenarios in which the store answers one owner about allotments seconds late.

--- a/features/jobs/allotments.feature
+++ b/features/jobs/allotments.feature
@@ -75,6 +75,38 @@
     Then the pools run 1 and 6 tasks of "acme"
     And the cap was kept at every start
 
+  Scenario: An owner that knows no newer amounts starts nothing after a fall
+    Given the account "acme" has a cap of 8 cores
+    And "acme" submits 8 tasks of 1 core for 1 second to "booking"
+    And 3 seconds go by
+    And "acme" submits 1 task of 1 core for 1 second to "annex"
+    And "acme" submits 6 tasks of 1 core for 1 second to "annex"
+    And 4 seconds go by
+    And "acme" submits 4 tasks of 1 core for 1 second to "booking"
+    And 4 seconds go by
+    And the store answers the owner of "booking" about allotments 8 seconds late
+    When "acme" submits 7 tasks of 1 core for 60 seconds to "annex"
+    And 1.5 seconds go by
+    And the cap of "acme" becomes 4 cores
+    And 2.5 seconds go by
+    And "acme" submits 4 tasks of 1 core for 1 second to "booking"
+    And 12 seconds go by
+    Then the cap was kept at every start
+
+  Scenario: With a new cap, nothing starts before all owners have told their usage
+    Given the account "acme" has no cap
+    And "acme" submits 6 tasks of 1 core for 60 seconds to "annex"
+    And 2 seconds go by
+    And the store answers the owner of "annex" about allotments 6 seconds late
+    When the cap of "acme" becomes 7 cores
+    And 2.5 seconds go by
+    And "acme" submits 4 tasks of 1 core for 60 seconds to "booking"
+    And 2 seconds go by
+    Then the pools run 0 and 6 tasks of "acme"
+    When 12 seconds go by
+    Then the pools run 1 and 6 tasks of "acme"
+    And the cap was kept at every start
+
   Scenario: Starts that were decided before a pause aren't sent under an old cap
     Given the account "acme" has a cap of 8 cores
     And "acme" submits 4 tasks of 1 core for 60 seconds to "annex"
--- a/features/steps/cap_fault_steps.py
+++ b/features/steps/cap_fault_steps.py
@@ -4,6 +4,7 @@
 from behave import step, when
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.records import ALLOTMENTS
 
 
 def _world(context):
@@ -42,3 +43,27 @@
     world = _world(context)
     names = [worker.entry.id for worker in _workers_of(context, pool)]
     world.links.isolate(world.owner(PoolName(pool)), *names)
+
+
+@step(
+    'the store answers the owner of "{pool}" about allotments '
+    '{seconds:g} seconds late'
+)
+def delay_allotments(context, pool, seconds):
+    """Delay replies of one node, which are of the time before the delay."""
+    world = _world(context)
+    store = world.cells[world.owner(PoolName(pool))].dependencies.store
+    scan, follow = store.scan, store.follow
+
+    async def late_scan(*, table, part):
+        page = await scan(table=table, part=part)
+        await trio.sleep(seconds if table == ALLOTMENTS else 0)
+        return page
+
+    async def late_follow(*, table, after, wait_s):
+        found = await follow(table=table, after=after, wait_s=wait_s)
+        await trio.sleep(seconds if table == ALLOTMENTS else 0)
+        return found
+
+    store.scan = late_scan
+    store.follow = late_follow
