Expect the tombstone, and no job, after a DELETE of an unknown job

Cause: 'no further job is stored' counts all rows of the table of jobs. Change: that row is a scenario of its own, which expects exactly the cancellation of that job besides the rows before. The step for all others still allows no new row.

--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -30,9 +30,13 @@
       | unknown prefix          | POST   | /other/00000000000000aa   | {"Steps":[{"Count":1}]}                         | 404    |
       | more than any worker    | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"Cpu":999000}]}            | 422    |
       | unknown job             | GET    | /lookups/00000000000000aa | -                                               | 410    |
-      | cancel of unknown job   | DELETE | /lookups/00000000000000aa | -                                               | 410    |
       | wrong method            | PUT    | /lookups/00000000000000aa | -                                               | 405    |
 
+  Scenario: A cancellation of an unknown job stores that it is cancelled, and nothing else
+    When a caller sends DELETE "/lookups/00000000000000aa" with body -
+    Then the caller gets status 410
+    And only the cancellation of job "00000000000000aa" is stored
+
   Scenario: A body over the limit
     When a caller submits 70000 bytes
     Then the caller gets status 413
--- a/features/steps/caller_steps.py
+++ b/features/steps/caller_steps.py
@@ -4,6 +4,8 @@
 
 from behave import given, step, then, when
 
+from cyclamentrack.jobs.model import JobId
+from cyclamentrack.jobs.records import cancel_key
 from cyclamentrack.metrics import Metrics
 from cyclamentrack_platform.front import HttpFrontend
 from features.harness.asgi import call_app
@@ -70,6 +72,12 @@
     assert _stored_jobs(context) == context.stored_jobs
 
 
+@then('only the cancellation of job "{job}" is stored')
+def check_cancellation(context, job):
+    expected = [*context.stored_jobs, cancel_key(JobId(job))]
+    assert _stored_jobs(context) == expected, _stored_jobs(context)
+
+
 @then('each task of job "{job}" was started once')
 def check_once(context, job):
     starts = [
