--- a/features/processes/cell.py
+++ b/features/processes/cell.py
@@ -180,8 +180,8 @@
         text = '\n'.join(self.judge.lines)
         (self.folder / 'record.txt').write_text(text, encoding='utf-8')
 
-    def configure(self, routes):
-        """Write a manifest with a service for each prefix."""
+    def configure(self, routes, pools=POOLS):
+        """Write a manifest with some services, and one for each prefix."""
         self._version += 2
         self.judge.advised = {ADVISED}
         for prefix, pool in routes.items():
@@ -191,7 +191,7 @@
             'Version': self._version,
             'Routes': list(itertools.starmap(_route, routes.items())),
             'Services': [
-                {'Name': pool, 'RejectsOverload': False} for pool in POOLS
+                {'Name': pool, 'RejectsOverload': False} for pool in pools
             ],
             'Limits': {'MaxBodyBytes': 262144},
         }
--- a/features/processes/disruptions.py
+++ b/features/processes/disruptions.py
@@ -45,6 +45,7 @@
             self.drain_worker,
             self.move_route,
             self.take_route_out,
+            self.take_service_out,
             self.add_odd_entries,
             self.forget_history,
         )
@@ -186,6 +187,17 @@
         prefix = self._random.choice(sorted(ROUTES))
         await self._take_out(prefix, seconds, ROUTES[prefix])
 
+    async def take_service_out(self, seconds):
+        """Take the second service out for a while, and kill its owner."""
+        first, second = POOLS
+        self._cell.configure(dict.fromkeys(self._routes, first), pools=[first])
+        await asyncio.sleep(seconds)
+        node = self._cell.owner(second)
+        async with self._outage(node):
+            node.send(signal.SIGKILL)
+            await asyncio.sleep(seconds)
+        self._cell.configure(self._routes)
+
     async def add_odd_entries(self, seconds):
         store = self._cell.store
         for name, body in _ODD_ENTRIES.items():
