Check the caps of accounts with a model of two pools

Cause: whether a start can exceed a cap depends on interleavings of late reads, late writes, takeovers and a cap that falls, which scenarios only sample.

--- a/spec/checks.py
+++ b/spec/checks.py
@@ -8,11 +8,12 @@
 import msgspec
 from minicheck import Protocol, check_safety
 
-from spec import jobcell, leases
+from spec import allotments, jobcell, leases
 from spec.model import Guard, Rules, State, violations
 
 _MAX_STATES = 2_000_000
 _MAX_VARIANT_STATES = 20_000
+_HOLDS = 'holds'
 _PROMISES = ('two places', 'run twice', 'told not run')
 
 
@@ -57,6 +58,10 @@
     verdicts.extend(_check_job_cell(without=guard) for guard in jobcell.Guard)
     verdicts.append(_check_leases(without=None))
     verdicts.extend(_check_leases(without=guard) for guard in leases.Guard)
+    verdicts.append(_check_allotments(without=None))
+    verdicts.extend(
+        _check_allotments(without=guard) for guard in allotments.Guard
+    )
     return verdicts
 
 
@@ -198,6 +203,56 @@
     )
 
 
+def _check_allotments(*, without: allotments.Guard | None) -> SpecVerdict:
+    """Check the model of allotments, or refute its variant without a guard.
+
+    The search ends at the first counterexample.
+    """
+    rules = allotments.Rules(
+        without=frozenset(() if without is None else (without,))
+    )
+    refuted: list[allotments.State] = []
+
+    def transitions(
+        state: allotments.State,
+    ) -> list[tuple[str, allotments.State]]:
+        return [] if refuted else rules.transitions(state)
+
+    def keeps_promise(found: dict[str, object]) -> bool:
+        state = allotments.State(**found)
+        if state.exceeded:
+            refuted.append(state)
+        return not refuted
+
+    protocol = Protocol(
+        name='the cap of an account',
+        candidate=False,
+        fields=allotments.State._fields,
+        initial=allotments.State(),
+        transitions=transitions,
+        invariants={allotments.PROMISE: keeps_promise},
+    )
+    outcome = check_safety(protocol, max_states=_MAX_STATES)
+    found = outcome['properties'][allotments.PROMISE]
+    states = outcome['reachable_states']
+    if without is None:
+        holds = found[_HOLDS] is True
+        detail = _HOLDS if holds else 'not shown'
+        return SpecVerdict(
+            name='allotments',
+            passed=holds,
+            summary=f'spec allotments: {detail}, {states} states explored',
+        )
+    trace = found['counterexample']
+    detail = f'refuted in {len(trace) - 1} moves' if trace else 'NOT REFUTED'
+    return SpecVerdict(
+        name=f'allotments without: {without.value}',
+        passed=bool(trace),
+        summary=f'spec allotments without "{without.value}": {detail}, '
+        f'{states} states explored',
+    )
+
+
 def depth(rules: Rules) -> int:
     """Return the length of the longest shortest path to a state."""
     level = {State()}
