--- a/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
@@ -69,6 +69,7 @@
 # Owners that adopt the same rows at the same time conflict, and a conflict
 # costs all rows of a call.
 _MIN_ROWS = 4
+_MILLI = 1000
 # A start must reach its worker while the configuration is still current.
 _CONFIGURATION_AGE_SHARE = 0.9
 
@@ -504,6 +505,7 @@
         if before is not None and before.amount == amount:
             return
         self._dependencies.metrics.count('allotment_changes')
+        self._measure_held()
         needs = self._usage.needs(write.account)
         _log.info(
             'allotment changed account=%s pool=%s amount=%s before=%s '
@@ -518,6 +520,14 @@
             version,
         )
 
+    def _measure_held(self) -> None:
+        pool = self._claim.pool
+        found = [one.row.pools.get(pool) for one in self.accounts.values()]
+        cores = sum(one.amount.milli_cores for one in found if one)
+        self._dependencies.metrics.gauge(
+            f'allotted_cores{{pool="{pool}"}}', cores / _MILLI
+        )
+
     def _amount_in(self, row: AccountRow) -> Resources:
         own: Allotment = row.pools[self._claim.pool]
         return own.amount
