Play capped accounts in the soak on the paused clock

Cause: the scenarios take one fault at a time.

Change: half of the soak's jobs belong to an account whose cap changes with each configuration, in both pools; every start is compared with the cap. Accounts have their own random generator, so that a seed's disruptions stay the same.

--- a/features/harness/soak.py
+++ b/features/harness/soak.py
@@ -5,8 +5,11 @@
 import trio
 
 from cyclamentrack.ids import PoolName
+from cyclamentrack.jobs.accounts import AccountName, ClientAccount
 from cyclamentrack.jobs.model import Job, JobState, QueueName
 from cyclamentrack.jobs.service import RequestOutcome
+from cyclamentrack.resources import Resources
+from features.harness.cap_watch import CapWatch
 from features.harness.jobworld import POOL, JobWorld, make_queue, make_step
 
 _ANNEX = PoolName('annex')
@@ -14,6 +17,9 @@
 _WORKERS = 8
 _ANNEX_WORKERS = 3
 _UNUSABLE = 70
+_ACCOUNT = AccountName('acme')
+# The largest gang has 16 cores.
+_CAPS_CORES = (16, 24, 40)
 _FIRST_ANNEX = 50
 _TRAFFIC_S = 40.0
 _QUIET_S = 40.0
@@ -42,6 +48,9 @@
         # Permits delay starts, which hides some faults.
         self._permits = _PERMIT_S if seed % 2 == 0 else None
         self._world = JobWorld(seed=seed)
+        self._watch = CapWatch(self._world)
+        # Its own generator, so that the disruptions of a seed stay the same.
+        self._accounts = random.Random(f'accounts/{seed}')
         self._jobs = {}
         self._accepted_at = {}
         self._cancelled = set()
@@ -81,7 +90,18 @@
         queue = make_queue(
             'lookups', permits=self._permits, attempts=_ATTEMPTS, pool=pool
         )
-        self._world.configure(queue, make_queue('other'), pools=(POOL, _ANNEX))
+        self._world.configure(
+            queue,
+            make_queue('other'),
+            pools=(POOL, _ANNEX),
+            accounts=self._next_accounts(),
+        )
+
+    def _next_accounts(self):
+        """Return an account whose cap has changed."""
+        cores = self._accounts.choice(_CAPS_CORES)
+        cap = Resources(milli_cores=1000 * cores, memory_mib=0)
+        return (ClientAccount(name=_ACCOUNT, cap=cap),)
 
     def _advance(self, seconds):
         self._world.loop.sleep(seconds)
@@ -119,7 +139,11 @@
             case _:
                 steps = [make_step(count, cores=self._random.uniform(0.5, 6))]
         work_s = self._random.choice([0.3, 0.6, 1.5, 3.0])
-        job, outcome = self._world.submit(*steps, node=node, work_s=work_s)
+        account = self._accounts.choice(['', _ACCOUNT])
+        pool = self._accounts.choice([POOL, _ANNEX]) if account else POOL
+        job, outcome = self._world.submit(
+            *steps, node=node, work_s=work_s, account=account, pool=pool
+        )
         if outcome is RequestOutcome.STORED:
             self._jobs[job] = tuple(steps)
             self._accepted_at[job] = self._now()
@@ -140,6 +164,7 @@
                 payload='x',
                 steps=self._jobs[job],
                 accepted_at_s=trio.current_time(),
+                account=self._world.account_of[job],
             )
             return await service.submit(again, caller_timeout_s=3.0)
 
@@ -236,7 +261,11 @@
 
     def _move_queue(self, seconds):
         """Take the queue out, and add it again with one of the pools."""
-        self._world.configure(make_queue('other'), pools=(POOL, _ANNEX))
+        self._world.configure(
+            make_queue('other'),
+            pools=(POOL, _ANNEX),
+            accounts=self._next_accounts(),
+        )
         pool = self._random.choice([POOL, _ANNEX])
         self._after(seconds, lambda: self._configure(pool))
 
@@ -262,6 +291,7 @@
     def _judge(self):
         world = self._world
         self.problems.extend(world.workers.violations)
+        self.problems.extend(self._watch.problems)
         self._configure(POOL)
         world.loop.sleep(2)
         since = self._now() - _STATUS_S
