Give cap back from pools that are no longer configured

Cause: a pool that was removed kept its equal share while nothing contended, and a pool whose owner is gone for good could want cap for ever, so that the others kept to their part of the split.

Change: a pool that isn't configured keeps what it needs, and what it wants is ignored. One scenario is new; the scenario of late rows after a fall now has a row that is in fact outdated, as a variant without that check passed it before.

Without the check for an outdated row, and without waiting for the owners' usage, one scenario fails each.

--- a/features/jobs/allotments.feature
+++ b/features/jobs/allotments.feature
@@ -85,7 +85,8 @@
     And "acme" submits 4 tasks of 1 core for 1 second to "booking"
     And 4 seconds go by
     And the store answers the owner of "booking" about allotments 8 seconds late
-    When "acme" submits 7 tasks of 1 core for 60 seconds to "annex"
+    And 2.5 seconds go by
+    When "acme" submits 4 tasks of 1 core for 60 seconds to "annex"
     And 1.5 seconds go by
     And the cap of "acme" becomes 4 cores
     And 2.5 seconds go by
@@ -216,6 +217,19 @@
     Then all jobs have completed
     And the cap was kept at every start
 
+  Scenario: A pool that is removed gives back what it doesn't use
+    Given the account "acme" has a cap of 8 cores
+    And "acme" submits 2 tasks of 1 core for 6 seconds to "annex"
+    And 1 second goes by
+    When the pool "annex" is removed from the configuration
+    And 3 seconds go by
+    And "acme" submits 8 tasks of 1 core for 20 seconds to "booking"
+    And 1.5 seconds go by
+    Then the pools run 6 and 2 tasks of "acme"
+    When 4 seconds go by
+    Then the pools run 8 and 0 tasks of "acme"
+    And the cap was kept at every start
+
   Scenario: A gang starts only whole
     Given the account "acme" has a cap of 6 cores
     When "acme" submits 2 tasks of 1 core for 5 seconds to "annex"
--- a/features/steps/allotment_steps.py
+++ b/features/steps/allotment_steps.py
@@ -85,6 +85,18 @@
     _configure(context, (_account(name, cores),))
 
 
+@when('the pool "{pool}" is removed from the configuration')
+def remove_pool(context, pool):
+    world = _world(context)
+    _, accounts = world.configured_accounts[-1]
+    left = [one for one in _QUEUES if one != pool]
+    world.configure(
+        *(make_queue(_QUEUES[one], pool=one) for one in left),
+        pools=tuple(left),
+        accounts=accounts,
+    )
+
+
 def _submit(context, account, count, cores, work, pool, **changes):
     job, outcome = _world(context).submit(
         make_step(count, cores=cores, estimate=work, **changes),
--- a/packages/cyclamentrack/cyclamentrack/jobs/account_caps.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/account_caps.py
@@ -107,7 +107,7 @@
         state = self.rows.accounts[account]
         return holding(
             state.cap,
-            state.row,
+            self.rows.row(account),
             self._claim.pool,
             self.usage.needs(account),
             amount,
--- a/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
@@ -31,6 +31,7 @@
     must_be_stored,
     next_allotment,
     resources,
+    without_claims,
 )
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import OwnershipLostError
@@ -168,6 +169,11 @@
             return None
         return _lowest([own.amount, *state.uncertain])
 
+    def row(self, account: AccountName) -> AccountRow:
+        """Return an account's row with the claims that count."""
+        configured = self._configuration.pools if self._configuration else ()
+        return without_claims(self.accounts[account].row, configured)
+
     def note(self, account: AccountName) -> None:
         """Check an account's allotment soon, since its needs have changed."""
         if account in self.accounts:
@@ -399,19 +405,21 @@
             return None
         pool = self._claim.pool
         row = state.row
+        pools = configuration.pools
+        claims = without_claims(row, pools)
         new = next_allotment(
             state.cap,
-            row,
+            claims,
             pool,
             self._usage.needs(account),
             token=self._claim.token,
-            pools=len(configuration.pools),
+            pools=len(pools) if pool in pools else 0,
         )
         introduced, awaited = self._coverage(state, configuration)
         if (
             not state.uncertain
             and (introduced, awaited) == (row.introduced, row.awaited)
-            and not must_be_stored(state.cap, row, pool, new)
+            and not must_be_stored(state.cap, claims, pool, new)
         ):
             return None
         return AccountRow(
--- a/packages/cyclamentrack/cyclamentrack/jobs/allotments.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotments.py
@@ -5,7 +5,7 @@
 message between owners is needed for that, whatever caps they know.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
@@ -199,6 +199,26 @@
     return _total(found)
 
 
+def without_claims(
+    row: AccountRow, configured: Collection[PoolName]
+) -> AccountRow:
+    """Return a row in which pools that aren't configured want nothing.
+
+    Their owners may be gone for good.
+    """
+    if all(name in configured for name in row.pools):
+        return row
+    pools = {
+        name: one
+        if name in configured
+        else msgspec.structs.replace(
+            one, wanted=NO_RESOURCES, least=NO_RESOURCES
+        )
+        for name, one in row.pools.items()
+    }
+    return msgspec.structs.replace(row, pools=pools)
+
+
 def wants_more(row: AccountRow, pool: PoolName) -> tuple[bool, ...]:
     """Return by dimension whether another pool wants more than it has."""
     found = [_unmet(one) for name, one in row.pools.items() if name != pool]
@@ -289,12 +309,14 @@
     token: Token,
     pools: int,
 ) -> Allotment:
-    """Return the allotment that a pool should have; ``pools`` is their number.
+    """Return the allotment that a pool should have.
 
     It covers what is in use. Beyond that it takes from what no pool has; while
     another pool wants more than it has, no more than its part of the split.
+    ``pools`` is the number of configured pools, 0 if this one isn't any more;
+    then it keeps nothing that it doesn't need.
     """
-    own = row.pools.get(pool)
+    own = row.pools.get(pool) if pools else None
     wanted = _clip_to_used(needs.used.plus(needs.waiting), needs.used, cap)
     taken = [
         _next_amount(
@@ -309,7 +331,7 @@
                 if wants_more(row, pool)[dimension]
                 else None
             ),
-            equal=amounts(cap)[dimension] // max(pools, 1),
+            equal=amounts(cap)[dimension] // pools if pools else 0,
         )
         for dimension in _DIMENSIONS
     ]
