--- a/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
@@ -31,6 +31,7 @@
     must_be_stored,
     next_allotment,
     resources,
+    without_claims,
 )
 from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.journal import OwnershipLostError
@@ -69,6 +70,7 @@
 # Owners that adopt the same rows at the same time conflict, and a conflict
 # costs all rows of a call.
 _MIN_ROWS = 4
+_MILLI = 1000
 # A start must reach its worker while the configuration is still current.
 _CONFIGURATION_AGE_SHARE = 0.9
 
@@ -167,6 +169,11 @@
             return None
         return _lowest([own.amount, *state.uncertain])
 
+    def row(self, account: AccountName) -> AccountRow:
+        """Return an account's row with the claims that count."""
+        configured = self._configuration.pools if self._configuration else ()
+        return without_claims(self.accounts[account].row, configured)
+
     def note(self, account: AccountName) -> None:
         """Check an account's allotment soon, since its needs have changed."""
         if account in self.accounts:
@@ -398,19 +405,21 @@
             return None
         pool = self._claim.pool
         row = state.row
+        pools = configuration.pools
+        claims = without_claims(row, pools)
         new = next_allotment(
             state.cap,
-            row,
+            claims,
             pool,
             self._usage.needs(account),
             token=self._claim.token,
-            pools=len(configuration.pools),
+            pools=len(pools) if pool in pools else 0,
         )
         introduced, awaited = self._coverage(state, configuration)
         if (
             not state.uncertain
             and (introduced, awaited) == (row.introduced, row.awaited)
-            and not must_be_stored(state.cap, row, pool, new)
+            and not must_be_stored(state.cap, claims, pool, new)
         ):
             return None
         return AccountRow(
@@ -504,6 +513,7 @@
         if before is not None and before.amount == amount:
             return
         self._dependencies.metrics.count('allotment_changes')
+        self._measure_held()
         needs = self._usage.needs(write.account)
         _log.info(
             'allotment changed account=%s pool=%s amount=%s before=%s '
@@ -518,6 +528,14 @@
             version,
         )
 
+    def _measure_held(self) -> None:
+        pool = self._claim.pool
+        found = [one.row.pools.get(pool) for one in self.accounts.values()]
+        cores = sum(one.amount.milli_cores for one in found if one)
+        self._dependencies.metrics.gauge(
+            f'allotted_cores{{pool="{pool}"}}', cores / _MILLI
+        )
+
     def _amount_in(self, row: AccountRow) -> Resources:
         own: Allotment = row.pools[self._claim.pool]
         return own.amount
