--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -34,6 +34,8 @@
 )
 from cyclamentrack.jobs.model import Configuration, Shape, StepName
 from cyclamentrack.jobs.owner import OwnerDependencies, SliceOwner
+from cyclamentrack.jobs.peer_health import ObservedPeers, PeerHealth
+from cyclamentrack.jobs.peer_watch import MemberEntry, PeerWatch
 from cyclamentrack.jobs.permits import PermitRoute
 from cyclamentrack.jobs.ports import (
     DEFAULT_ROW_BYTES,
@@ -94,6 +96,8 @@
 _UPGRADE_CHECK_S = 6.0
 _PEER_MARGIN_S = 0.2
 _NOTIFY_TIMEOUT_S = 0.5
+# A slice is offered to this many peers that answer.
+_MAX_OFFERS = 3
 
 
 class CellDependencies(msgspec.Struct, frozen=True, kw_only=True):
@@ -151,7 +155,19 @@
         )
         self.members_feed = FeedHealth(name='members')
         self.leaving = False
+        self.peers = ObservedPeers(
+            peers=dependencies.peers, health=PeerHealth()
+        )
         self._member_row = MemberRow(store=dependencies.store, member=me)
+        self._member_entries: dict[str, MemberEntry] = {}
+        self._peer_watch = PeerWatch(
+            node=me.node,
+            members=self._member_entries,
+            peers=self.peers,
+            store=dependencies.store,
+            feed=self.members_feed,
+            watches_all=lambda: bool(self.owners),
+        )
         self._nursery: trio.Nursery | None = None
         self._permit_call_lock = trio.Lock()
         self._claiming: set[PoolName] = set()
@@ -159,16 +175,19 @@
         self._lost_at: dict[PoolName, float] = {}
         self._renewers: dict[PoolName, LeaseRenewer] = {}
         # An owner reads its permit routes several times in each round, so they
-        # are only found again when the members or the owners have changed.
+        # are only found again when the members, the owners or the peers that
+        # answer have changed.
         self._permit_routes: dict[PoolName, dict[str, PermitRoute]] = {}
         self._routed_owners: dict[PoolName, str] = {}
+        self._routed_generation = 0
 
     async def run(self) -> None:
         """Follow the shared tables and own slices until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self.dependencies.timeouts.run)
-            nursery.start_soon(self._member_row.register)
+            nursery.start_soon(self._member_row.run)
+            nursery.start_soon(self._peer_watch.run)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._follow_members)
             nursery.start_soon(self.lease_tracker.follow)
@@ -179,11 +198,11 @@
         self.leaving = True
         with trio.move_on_after(_HAND_OVER_TIMEOUT_S):
             async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._remove_member)
                 for pool, owner in self.owners.items():
                     nursery.start_soon(
                         self._release, owner, self._renewers[pool]
                     )
-            await self._remove_member()
 
     def owner_address(self, pool: PoolName) -> str | None:
         """Return the address of a slice's owner, if it is a known peer."""
@@ -263,15 +282,20 @@
     def permit_routes(self, pool: PoolName) -> dict[str, PermitRoute]:
         """Return a slice's permit routes by address; ``''`` is this node's.
 
-        Members that own no slice are assigned to the slices in rotation, so
-        that no two owners queue on the same route.
+        Members that answer and own no slice are assigned to the slices in
+        rotation, so that no two owners queue on the same route.
         """
         owners = {
             known: seen.lease.node
             for known, seen in self.lease_tracker.seen.items()
         }
-        if owners != self._routed_owners:
+        generation = self.peers.health.generation
+        if (owners, generation) != (
+            self._routed_owners,
+            self._routed_generation,
+        ):
             self._routed_owners = owners
+            self._routed_generation = generation
             self._permit_routes.clear()
         found = self._permit_routes.get(pool)
         if found is None:
@@ -295,7 +319,12 @@
     ) -> dict[str, PermitRoute]:
         found: dict[str, PermitRoute] = {'': self.request_permits}
         pools = sorted(owners)
-        free = sorted(set(self.members) - set(owners.values()) - {self.me.node})
+        free = sorted(
+            name
+            for name in set(self.members) - set(owners.values())
+            if name != self.me.node
+            and self.peers.health.answers(self.members[name].address)
+        )
         for number, name in enumerate(free):
             if pools and pools[number % len(pools)] == pool:
                 address = self.members[name].address
@@ -310,7 +339,7 @@
                 step=step, workers=list(workers), timeout_s=timeout_s
             )
             try:
-                reply = await self.dependencies.peers.call(
+                reply = await self.peers.call(
                     address=address,
                     message=message,
                     timeout_s=timeout_s + _PEER_MARGIN_S,
@@ -330,7 +359,7 @@
         self, address: str, message: JobStored | CancelStored
     ) -> None:
         try:
-            await self.dependencies.peers.call(
+            await self.peers.call(
                 address=address, message=message, timeout_s=_NOTIFY_TIMEOUT_S
             )
         except PeerUnreachableError as error:
@@ -396,19 +425,30 @@
 
     def _remove_member_row(self, key: RowKey) -> None:
         self.members.pop(key.key, None)
+        self._member_entries.pop(key.key, None)
         self._permit_routes.clear()
+        if key.key == self.me.node:
+            self._member_row.note_row(None)
 
     def _apply_member(self, row: StoredRow) -> None:
         self._permit_routes.clear()
+        if row.key.key == self.me.node:
+            self._member_row.note_row(row)
         try:
             member = decode(row.body, Member)
         except msgspec.ValidationError as error:
             _log.warning('member %s not decoded: %s', row.key.key, error)
             return
         if member.left:
-            self.members.pop(row.key.key, None)
-        else:
-            self.members[row.key.key] = member
+            self._remove_member_row(row.key)
+            return
+        if not member.doubted:
+            self.peers.health.note_registered(member.address)
+        self.members[row.key.key] = member
+        self._member_entries[row.key.key] = MemberEntry(
+            member=member, version=row.version
+        )
+        self._peer_watch.wake()
 
     async def _follow(
         self,
@@ -480,8 +520,13 @@
         A slice that this node owned before its restart is claimed at once,
         unless there are more capable nodes.
         """
-        members = {**self.members, self.me.node: self.me}
         former = self.lease_tracker.seen.get(pool)
+        members = {
+            name: member
+            for name, member in self.members.items()
+            if not self.peers.health.is_silent(member.address)
+            and (former is None or name != former.lease.node)
+        } | {self.me.node: self.me}
         known = former is not None and former.lease.node == self.me.node
         if known and capacity_classes(members.values())[self.me.node] == 0:
             return 0.0
@@ -568,6 +613,7 @@
             store=dependencies.store, claim=claim, lease=lease
         )
         self.owners[claim.pool] = owner
+        self._peer_watch.wake()
         dependencies.metrics.count('slices_claimed')
         self._renewers[claim.pool] = renewer
         nursery.start_soon(self._run_owner, owner, renewer)
@@ -670,9 +716,14 @@
         """Ask peers in order to claim a slice; return whether one did."""
         claim = owner.claim
         message = TransferSlice(pool=claim.pool, claim=claim.id)
+        answering = await self.peers.find_answering(
+            [peer.address for peer in peers], enough=_MAX_OFFERS
+        )
         for peer in peers:
+            if peer.address not in answering:
+                continue
             try:
-                reply = await self.dependencies.peers.call(
+                reply = await self.peers.call(
                     address=peer.address,
                     message=message,
                     timeout_s=_TRANSFER_TIMEOUT_S,
--- a/packages/cyclamentrack/cyclamentrack/jobs/claim_health.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claim_health.py
@@ -13,6 +13,8 @@
 _log = logging.getLogger(__name__)
 
 _WORKERS_LOGGED = 40
+# By then no worker that is cut off still counts as answering.
+_LOG_AFTER_S = 3.0
 
 
 class ClaimHealth:
@@ -40,9 +42,12 @@
 
     def note_unconfirmed(self) -> None:
         """Log once that the claim can be neither confirmed nor transferred."""
-        if not self._logged:
+        since = self._failing_since
+        if self._logged or since is None:
+            return
+        if trio.current_time() - since >= _LOG_AFTER_S:
             self._log_state('claim unconfirmed')
-        self._logged = True
+            self._logged = True
 
     def _log_state(self, event: str) -> None:
         """Log the claim's state, and which workers answer its owner."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/member_row.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/member_row.py
@@ -1,9 +1,11 @@
 """The row in which a node registers as a member of the cell."""
 
+import zlib
+
 import msgspec
 import trio
 
-from cyclamentrack.codec import encode
+from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.jobs.ports import (
     Batch,
@@ -11,11 +13,15 @@
     Conflict,
     Expect,
     RowStore,
+    StoredRow,
     StoreRefusedError,
 )
 from cyclamentrack.jobs.records import Member, member_key
 
 _RETRY_S = 0.2
+# Nodes whose rows are lost at the same time write them anew spread over this.
+_SPREAD_S = 1.5
+_HASH_RANGE = 2**32
 
 
 class MemberRow:
@@ -36,27 +42,56 @@
         self._version = 0
         self._registered = False
         self._late_creation = False
-        self._registering = trio.CancelScope()
+        self._running = trio.CancelScope()
+        self._lost = trio.Event()
+
+    async def run(self) -> None:
+        """Register the node, and again when its row is lost or doubted.
+
+        This ends when the node is removed.
+        """
+        with self._running:
+            while True:
+                while not await self._try_register():
+                    await trio.sleep(_RETRY_S)
+                await self._lost.wait()
+                self._registered = False
+                self._lost = trio.Event()
+                await trio.sleep(_spread_s(self._member))
+
+    def note_row(self, row: StoredRow | None) -> None:
+        """Take note of the node's row in the feed, ``None`` if it is removed.
 
-    async def register(self) -> None:
-        """Register the node; repeat this until it is done, or ``remove``."""
-        with self._registering:
-            while not await self._try_register():
-                await trio.sleep(_RETRY_S)
+        The row of a later process of the same name stays as it is.
+        """
+        if not self._registered:
+            return
+        if row is None or (row.body != self._body and self._is_own(row)):
+            self._lost.set()
 
     async def remove(self) -> None:
         """Remove the node, but not a later process of its name.
 
         Raises ``StoreRefusedError`` or ``StoreUncertainError``.
         """
-        self._registering.cancel()
+        self._running.cancel()
         while True:
             answer = await self._store.commit(self._removal())
             if isinstance(answer, Committed):
                 return
-            if not self._learn(answer) and self._registered:
+            self._learn(answer)
+            row = answer.find(self._key)
+            if self._registered and (row is None or not self._is_own(row)):
                 return
 
+    def _is_own(self, row: StoredRow) -> bool:
+        """Return whether this process wrote a row, which may be doubted."""
+        try:
+            found = decode(row.body, Member)
+        except msgspec.ValidationError:
+            return False
+        return msgspec.structs.replace(found, doubted=False) == self._member
+
     async def _try_register(self) -> bool:
         """Write the row once; return whether the node is registered."""
         settled = not self._late_creation
@@ -94,3 +129,9 @@
         row = conflict.find(self._key)
         self._version = row.version if row else 0
         return row is not None and row.body == self._body
+
+
+def _spread_s(member: Member) -> float:
+    """Return how long a node waits before it writes its lost row anew."""
+    share = zlib.crc32(member.node.encode()) / _HASH_RANGE
+    return _SPREAD_S * share
--- a/packages/cyclamentrack/cyclamentrack/jobs/permits.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permits.py
@@ -40,8 +40,11 @@
 _CALL_SLACK_S = 0.6
 _RETRY_PAUSE_S = 0.3
 # A route without an answer is avoided for this long while others are free: its
-# node is probably down or cut off, and each call to it costs a whole timeout.
+# node is probably cut off from the service, and each call to it costs a whole
+# timeout. Each further failure in a row doubles that time, since with many such
+# routes the first would be due again before one that answers is reached.
 _AVOID_ROUTE_S = 6.0
+_MAX_AVOID_ROUTE_S = 96.0
 # If no worker may run a step, refused workers are requested again after this.
 _NONE_PERMITTED_PAUSE_S = 8.0
 
@@ -194,6 +197,7 @@
         self._steps: dict[StepName, StepPermits] = {}
         self._busy: set[str] = set()
         self._avoided_until: dict[str, float] = {}
+        self._avoided_s: dict[str, float] = {}
         self._calls: list[PermitCall] = []
         self._keep_own_short = False
 
@@ -311,12 +315,15 @@
         """Record whether a route answered, so that silent ones are avoided."""
         if answer is not None:
             self._avoided_until.pop(route_name, None)
+            self._avoided_s.pop(route_name, None)
             return
-        self._avoided_until[route_name] = now + _AVOID_ROUTE_S
+        avoid_s = self._avoided_s.get(route_name, _AVOID_ROUTE_S)
+        self._avoided_until[route_name] = now + avoid_s
+        self._avoided_s[route_name] = min(2 * avoid_s, _MAX_AVOID_ROUTE_S)
         _log.warning(
             'permit route gave no answer lane=%s avoided_s=%g',
             route_name or 'own',
-            _AVOID_ROUTE_S,
+            avoid_s,
         )
 
     async def _ask(
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -19,6 +19,7 @@
     OutcomeReply,
 )
 from cyclamentrack.jobs.model import Job, JobId, Origin
+from cyclamentrack.jobs.peer_health import ObservedPeers
 from cyclamentrack.jobs.ports import (
     Batch,
     Conflict,
@@ -27,7 +28,6 @@
     StoreRefusedError,
 )
 from cyclamentrack.jobs.records import cancel_key, job_key
-from cyclamentrack.ports import Peers
 
 # A slow store takes about 0.25 s; a write that takes longer than this has
 # failed.
@@ -93,7 +93,7 @@
         self,
         *,
         store: RowStore,
-        peers: Peers,
+        peers: ObservedPeers,
         addresses: Callable[[], list[str]],
         store_unreachable: Callable[[], bool],
     ) -> None:
@@ -179,9 +179,15 @@
         ``REFUSED`` means that all of them refused.
         """
         result = await self.store_locally(batch)
-        for address in self._addresses()[:_MAX_PEERS_ASKED]:
+        untried = self._addresses()
+        for _ in range(_MAX_PEERS_ASKED):
             if result.outcome is RequestOutcome.STORED:
                 return result
+            answering = await self._peers.find_answering(untried, enough=1)
+            if not answering:
+                return result
+            address = answering[0]
+            untried.remove(address)
             answer = await self._store_through_peer(address, message)
             if answer.outcome is not RequestOutcome.REFUSED:
                 result = answer
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -51,7 +51,8 @@
 
     ``cores`` is its share of the processor in cores, and ``link_mbps`` the
     bandwidth of its link; 0 means unknown. A node that has ``left`` isn't a
-    member any more.
+    member any more. A ``doubted`` one was silent for its peers, and writes its
+    row anew if it lives.
     """
 
     node: str
@@ -61,6 +62,7 @@
     cores: float = 0.0
     link_mbps: float = 0.0
     left: bool = False
+    doubted: bool = False
 
 
 def jobs_part(job: JobId) -> str:
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -83,7 +83,7 @@
         self._store = cell.dependencies.store
         self._writer = RequestWriter(
             store=cell.dependencies.store,
-            peers=cell.dependencies.peers,
+            peers=cell.peers,
             addresses=cell.peer_addresses,
             store_unreachable=lambda: cell.lease_tracker.store_unreachable,
         )
@@ -273,9 +273,13 @@
 
     async def _ask_peers(self, pool: PoolName, job: JobId) -> ShownState:
         """Ask peers for a job's state; the store can't be read here."""
-        for address in self._cell.peer_addresses()[:_MAX_PEERS_ASKED]:
+        peers = self._cell.peers
+        answering = await peers.find_answering(
+            self._cell.peer_addresses(), enough=_MAX_PEERS_ASKED
+        )
+        for address in answering[:_MAX_PEERS_ASKED]:
             try:
-                reply = await self._cell.dependencies.peers.call(
+                reply = await peers.call(
                     address=address,
                     message=ForwardShow(pool=pool, job=job),
                     timeout_s=_PEER_TIMEOUT_S,
@@ -304,7 +308,7 @@
         if address is None:
             return None
         try:
-            reply = await self._cell.dependencies.peers.call(
+            reply = await self._cell.peers.call(
                 address=address,
                 message=AskWaiting(pool=pool),
                 timeout_s=_OWNER_TIMEOUT_S,
@@ -322,7 +326,7 @@
         if address is None:
             return _NOT_OWNED
         try:
-            reply = await self._cell.dependencies.peers.call(
+            reply = await self._cell.peers.call(
                 address=address,
                 message=AskJobState(pool=pool, job=job),
                 timeout_s=_OWNER_TIMEOUT_S,
