--- a/features/steps/gone_peer_steps.py
+++ b/features/steps/gone_peer_steps.py
@@ -24,7 +24,7 @@
         make_queue('short', permits=0.01),
         make_queue('long', priority=1, permits=_SLOW_S),
     )
-    context.gone = [f'a{number:02}' for number in range(gone)]
+    context.gone = [f'{"az"[number % 2]}{number:02}' for number in range(gone)]
 
     async def register():
         for name in context.gone:
@@ -43,16 +43,16 @@
 @when('a job is submitted that needs a slow permit decision')
 def submit_slow(context):
     step = make_step(2)
-    context.job, outcome = context.jobs.submit(step, queue='long')
+    job, outcome = context.jobs.submit(step, queue='long')
+    context.job = job
     assert outcome is RequestOutcome.STORED, outcome
 
 
 @when('the store refuses one node')
 def refuse_one(context):
     world = context.jobs
-    context.refused = next(
-        name for name in world.cells if name != world.owner()
-    )
+    # The next members after it by name are all gone.
+    context.refused = max(set(world.cells) - {world.owner()})
     world.rows.refused_nodes.add(context.refused)
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/member_row.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/member_row.py
@@ -19,8 +19,10 @@
 from cyclamentrack.jobs.records import Member, member_key
 
 _RETRY_S = 0.2
-# Nodes whose rows are lost at the same time write them anew spread over this.
-_SPREAD_S = 1.5
+# A lost row is written anew after this time. Nodes whose rows are lost at the
+# same time are spread over some more.
+_REWRITE_PAUSE_S = 0.4
+_SPREAD_S = 1.2
 _HASH_RANGE = 2**32
 
 
@@ -57,7 +59,7 @@
                 await self._lost.wait()
                 self._registered = False
                 self._lost = trio.Event()
-                await trio.sleep(_spread_s(self._member))
+                await trio.sleep(_rewrite_pause_s(self._member))
 
     def note_row(self, row: StoredRow | None) -> None:
         """Take note of the node's row in the feed, ``None`` if it is removed.
@@ -131,7 +133,7 @@
         return row is not None and row.body == self._body
 
 
-def _spread_s(member: Member) -> float:
+def _rewrite_pause_s(member: Member) -> float:
     """Return how long a node waits before it writes its lost row anew."""
     share = zlib.crc32(member.node.encode()) / _HASH_RANGE
-    return _SPREAD_S * share
+    return _REWRITE_PAUSE_S + _SPREAD_S * share
--- a/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
@@ -179,11 +179,20 @@
             self._watched[name] = known
         if known.version != entry.version:
             known.version = entry.version
-            if not entry.member.doubted:
-                known.asked_at = -math.inf
-                known.missed = 0
+            self._note_written(entry, known)
         return known
 
+    def _note_written(self, entry: MemberEntry, known: _Watched) -> None:
+        if entry.member.doubted:
+            known.doubted = entry.version
+            known.missed_since = 0
+            return
+        if known.doubted:
+            known.doubted = 0
+            known.not_doubted_before = trio.current_time() + _DOUBT_AGAIN_S
+        known.asked_at = -math.inf
+        known.missed = 0
+
     async def _ask(self, name: str, address: str) -> None:
         try:
             async with self._limiter:
@@ -223,14 +232,12 @@
 
     async def _check_trusted(self, entry: MemberEntry, known: _Watched) -> None:
         now = trio.current_time()
-        if known.doubted:
-            known.doubted = 0
-            known.not_doubted_before = now + _DOUBT_AGAIN_S
         if known.missed < _MISSED_UNTIL_DOUBT:
             return
         if now >= known.not_doubted_before:
-            known.not_doubted_before = now + _WRITE_AGAIN_S
-            await self._doubt(entry)
+            written = await self._doubt(entry)
+            pause_s = _DOUBT_AGAIN_S if written else _WRITE_AGAIN_S
+            known.not_doubted_before = now + pause_s
 
     async def _check_doubted(self, entry: MemberEntry, known: _Watched) -> None:
         if known.doubted != entry.version:
@@ -240,15 +247,17 @@
             known.missed_since = 0
             await self._remove(entry)
 
-    async def _doubt(self, entry: MemberEntry) -> None:
+    async def _doubt(self, entry: MemberEntry) -> bool:
         doubted = msgspec.structs.replace(entry.member, doubted=True)
         key = member_key(entry.member.node)
         batch = Batch(
             expected=(Expect(key, entry.version),),
             puts=((key, encode(doubted)),),
         )
-        if await self._commit(batch):
+        written = await self._commit(batch)
+        if written:
             _log.info('member doubted node=%s', entry.member.node)
+        return written
 
     async def _remove(self, entry: MemberEntry) -> None:
         key = member_key(entry.member.node)
