--- a/features/jobs/gone_peers.feature
+++ b/features/jobs/gone_peers.feature
@@ -15,6 +15,19 @@
     And 5 seconds go by
     Then the job is shown as "completed" by every node
 
+  Scenario: A job starts although half of the live nodes became unreachable at once
+    When 3 nodes other than the owner become unreachable
+    And a job is submitted that needs a slow permit decision
+    And 5 seconds go by
+    Then the owner shows the job as "completed"
+
+  Scenario: A job starts although the store was down and machines were removed meanwhile
+    When the store answers nobody for 20 seconds while 2 nodes are killed
+    And 5 seconds go by
+    And a job is submitted that needs a slow permit decision
+    And 5 seconds go by
+    Then the owner shows the job as "completed"
+
   Scenario: A node that the store refuses stores a job through a peer that answers
     When the store refuses one node
     Then a job that is submitted to that node is accepted within 1 second
--- a/features/steps/gone_peer_steps.py
+++ b/features/steps/gone_peer_steps.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 
 from cyclamentrack.codec import encode
+from cyclamentrack.jobs.model import JobState
 from cyclamentrack.jobs.records import MEMBERS, Member, member_key
 from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import POOL, JobWorld, make_queue, make_step
@@ -43,11 +44,38 @@
 @when('a job is submitted that needs a slow permit decision')
 def submit_slow(context):
     step = make_step(2)
-    job, outcome = context.jobs.submit(step, queue='long')
+    world = context.jobs
+    job, outcome = world.submit(step, queue='long', node=world.owner())
     context.job = job
     assert outcome is RequestOutcome.STORED, outcome
 
 
+@when('{count:d} nodes other than the owner become unreachable')
+def part_some(context, count):
+    world = context.jobs
+    for name in sorted(set(world.cells) - {world.owner()})[:count]:
+        world.links.isolate(name)
+
+
+@when(
+    'the store answers nobody for {seconds:g} seconds while 2 nodes are killed'
+)
+def kill_without_store(context, seconds):
+    world = context.jobs
+    world.rows.down = True
+    for name in sorted(set(world.cells) - {world.owner()})[:2]:
+        world.kill_node(name)
+    world.loop.sleep(seconds)
+    world.rows.down = False
+
+
+@then('the owner shows the job as "{state}"')
+def check_shown(context, state):
+    world = context.jobs
+    shown = world.state(context.job, node=world.owner())
+    assert shown is JobState(state), shown
+
+
 @when('the store refuses one node')
 def refuse_one(context):
     world = context.jobs
--- a/packages/cyclamentrack/cyclamentrack/jobs/peer_health.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/peer_health.py
@@ -182,4 +182,5 @@
                         nursery.start_soon(ask, address)
                     unasked = unasked[size:]
                     size *= 2
-                    await trio.sleep(_ASK_MORE_S)
+                    if unasked:
+                        await trio.sleep(_ASK_MORE_S)
--- a/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
@@ -137,7 +137,11 @@
         )
 
     def _neighbours(self) -> list[str]:
-        """Return the members after this node, up to the third that answers."""
+        """Return the members after this node, up to the third that answers.
+
+        One that has not been asked yet counts too, so that a node that starts
+        asks no more than it has to.
+        """
         others = sorted(
             set(self._members) - {self._node},
             key=lambda name: (name < self._node, name),
@@ -146,13 +150,13 @@
         answering = 0
         for name in others[:_MAX_WATCHED]:
             found.append(name)
-            answering += self._answers(name)
+            answering += not self._is_silent(name)
             if answering == _ANSWERING_WATCHED:
                 break
         return found
 
-    def _answers(self, name: str) -> bool:
-        return self._peers.health.answers(self._members[name].member.address)
+    def _is_silent(self, name: str) -> bool:
+        return self._peers.health.is_silent(self._members[name].member.address)
 
     def _ask_due(self, names: list[str], nursery: trio.Nursery) -> None:
         now = trio.current_time()
