--- a/features/jobs/ownership.feature
+++ b/features/jobs/ownership.feature
@@ -31,3 +31,15 @@
     And 1 second goes by
     And all owners leave, each right after a renewal
     Then every slice was transferred to a large node
+
+  Scenario Outline: Nodes that start together leave the pools to the large ones, schedule <seed>
+    Given the same nodes start together under schedule <seed>
+    Then large nodes own all pools
+    And no large node owns 3 pools
+
+    Examples:
+      | seed |
+      | 3    |
+      | 4    |
+      | 7    |
+      | 8    |
--- a/features/steps/ownership_steps.py
+++ b/features/steps/ownership_steps.py
@@ -32,8 +32,9 @@
     'a job cell of {small:d} small and {large:d} large nodes'
     ' with {pools:d} pools'
 )
-def start_uneven_cell(context, small, large, pools):
-    world = JobWorld()
+def start_uneven_cell(context, small, large, pools, seed=1):
+    world = JobWorld(seed=seed)
+    context.small = small
     context.jobs = world
     context.add_cleanup(world.close)
     context.large = large
@@ -47,6 +48,13 @@
     world.loop.sleep(4)
 
 
+@given('the same nodes start together under schedule {seed:d}')
+def start_again(context, seed):
+    start_uneven_cell(
+        context, context.small, context.large, context.pools, seed=seed
+    )
+
+
 @given(
     'a pool of {workers:d} workers that a small node owns'
     ' while the {large:d} large ones are dead'
