--- a/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotment_rows.py
@@ -464,6 +464,7 @@
             case Committed(version=version):
                 for one in writes:
                     self._note_stored(one, version)
+                self._measure_held()
                 self._max_rows = min(2 * self._max_rows, _MAX_ROWS)
                 self._on_change()
                 return
@@ -513,7 +514,6 @@
         if before is not None and before.amount == amount:
             return
         self._dependencies.metrics.count('allotment_changes')
-        self._measure_held()
         needs = self._usage.needs(write.account)
         _log.info(
             'allotment changed account=%s pool=%s amount=%s before=%s '
