--- a/features/jobs/allotments.feature
+++ b/features/jobs/allotments.feature
@@ -104,7 +104,7 @@
     And "acme" submits 4 tasks of 1 core for 60 seconds to "booking"
     And 2 seconds go by
     Then the pools run 0 and 6 tasks of "acme"
-    When 12 seconds go by
+    When 30 seconds go by
     Then the pools run 1 and 6 tasks of "acme"
     And the cap was kept at every start
 
