--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -61,6 +61,7 @@
     Member,
     member_key,
 )
+from cyclamentrack.jobs.settling import MemberSettling
 from cyclamentrack.jobs.slice_needs import SliceNeeds, SliceRetirement
 from cyclamentrack.metrics import Metrics
 from cyclamentrack.ports import Peers
@@ -98,12 +99,6 @@
 _UPGRADE_CHECK_S = 6.0
 _PEER_MARGIN_S = 0.2
 _NOTIFY_TIMEOUT_S = 0.5
-# Nodes of a cell start at the same time, and those that claim before they know
-# the others take slices that larger nodes should own. A slice that never had
-# an owner is claimed once no node has registered for this long, or after the
-# limit.
-_MEMBERS_SETTLE_S = 0.5
-_MAX_SETTLE_S = 3.0
 # A slice is offered to this many peers that answer.
 _MAX_OFFERS = 3
 
@@ -172,8 +167,7 @@
         )
         self._member_row = MemberRow(store=dependencies.store, member=me)
         self._member_entries: dict[str, MemberEntry] = {}
-        self._began_at = trio.current_time()
-        self._member_added_at = self._began_at
+        self._settling = MemberSettling(node=me.node)
         self._peer_watch = PeerWatch(
             node=me.node,
             members=self._member_entries,
@@ -464,8 +458,7 @@
             return
         if not member.doubted:
             self.peers.health.note_registered(member.address)
-        if row.key.key not in self.members:
-            self._member_added_at = trio.current_time()
+        self._settling.note(row.key.key)
         self.members[row.key.key] = member
         self._member_entries[row.key.key] = MemberEntry(
             member=member, version=row.version
@@ -530,7 +523,8 @@
             return
         if now - self._lost_at.get(pool, -_RECLAIM_DELAY_S) < _RECLAIM_DELAY_S:
             return
-        if pool not in self.lease_tracker.seen and not self._has_settled(now):
+        new = pool not in self.lease_tracker.seen
+        if new and not self._settling.is_over(now):
             return
         since = self._due_since.setdefault(pool, now)
         if now - since < self._claim_delay_s(pool):
@@ -539,13 +533,6 @@
         self._claiming.add(pool)
         nursery.start_soon(self._finish_claim, pool, nursery)
 
-    def _has_settled(self, now: float) -> bool:
-        """Return whether the members that start with this node are known."""
-        if now - self._began_at >= _MAX_SETTLE_S:
-            return True
-        known = self.me.node in self.members
-        return known and now - self._member_added_at >= _MEMBERS_SETTLE_S
-
     def _claim_delay_s(self, pool: PoolName) -> float:
         """Return how long this node lets others claim first, seconds.
 
