--- a/packages/cyclamentrack/cyclamentrack/jobs/backlog.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/backlog.py
@@ -14,10 +14,10 @@
 
 from cyclamentrack.jobs.accounts import AccountName
 from cyclamentrack.jobs.admission import PoolFigures, QueueWaits
+from cyclamentrack.jobs.capacity_index import BUSY_SHARE
 from cyclamentrack.jobs.model import JobId, QueueName, Step
 from cyclamentrack.jobs.order import Prospect, ready_step
 from cyclamentrack.jobs.registry import JobRegistry, JobRun
-from cyclamentrack.jobs.rounds import BUSY_SHARE
 from cyclamentrack.resources import Resources
 
 # A pool whose backlog takes longer than this is overloaded: no queue's target
--- a/packages/cyclamentrack/cyclamentrack/jobs/capacity_index.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/capacity_index.py
@@ -9,6 +9,9 @@
 from cyclamentrack.jobs.model import Step
 from cyclamentrack.resources import Resources
 
+# A pool is busy if at least this share of some resource is in use.
+BUSY_SHARE = 0.55
+
 
 class CapacityIndex:
     """Index of usable workers, sorted by their free processors.
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -6,7 +6,11 @@
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.account_caps import CapRound
-from cyclamentrack.jobs.capacity_index import CapacityIndex, total
+from cyclamentrack.jobs.capacity_index import (
+    BUSY_SHARE,
+    CapacityIndex,
+    total,
+)
 from cyclamentrack.jobs.crashes import is_suspected
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import Forecast, StartPlan, needs_plan
@@ -40,8 +44,6 @@
 # _IDLE_LIMIT_S after the job began to wait.
 _NEGLECT_S = 1.2
 _IDLE_LIMIT_S = 2.4
-# A pool is busy if at least this share of some resource is in use.
-BUSY_SHARE = 0.55
 
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
