--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -6,7 +6,11 @@
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.account_caps import CapRound
-from cyclamentrack.jobs.capacity_index import CapacityIndex, total
+from cyclamentrack.jobs.capacity_index import (
+    BUSY_SHARE,
+    CapacityIndex,
+    total,
+)
 from cyclamentrack.jobs.crashes import is_suspected
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import Forecast, StartPlan, needs_plan
@@ -50,8 +54,6 @@
 # Share of the free processors that waiting urgent tasks can use at least: the
 # rest is on workers that may not run them or have too little each.
 _USABLE_SHARE = 0.5
-# A pool is busy if at least this share of some resource is in use.
-BUSY_SHARE = 0.55
 
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
