--- a/features/steps/preemption_steps.py
+++ b/features/steps/preemption_steps.py
@@ -26,13 +26,13 @@
 
 
 def _batch_tasks(context):
-    return [
-        task
+    steps = [
+        run
         for entry in _owner(context).registry.jobs.values()
         if entry.queue.priority
         for run in entry.steps.values()
-        for task in run.tasks
     ]
+    return [task for run in steps for task in run.tasks]
 
 
 def _fill(
@@ -67,7 +67,8 @@
         checkpointing=checkpointing,
         gang=gang,
     )
-    context.batch, outcome = world.submit(batch, queue='batch', work_s=_WORK_S)
+    job, outcome = world.submit(batch, queue='batch', work_s=_WORK_S)
+    context.batch = job
     assert outcome is RequestOutcome.STORED, outcome
     context.urgent = []
     world.loop.sleep(1.0)
