Let pools that can wait for their part of a cap not take turns at it

Cause: of two pools that want more than the cap, the one that had waited longest was granted one task more than its part, and then the other, so the amounts never came to rest (5 and 3, then 3 and 5 tasks).

Change: a least amount is only asked for if the first start doesn't fit an equal part.

--- a/packages/cyclamentrack/cyclamentrack/jobs/allotments.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/allotments.py
@@ -270,7 +270,7 @@
         token=Token(0),
         amount=NO_RESOURCES,
         wanted=cap,
-        least=_least(cap, needs),
+        least=_least(cap, needs, pools=len({*row.pools, pool})),
         started_at_s=needs.started_at_s,
     )
     return fair_split(cap, {**row.pools, pool: own})[pool]
@@ -340,7 +340,11 @@
         token=token,
         amount=resources(taken),
         wanted=resources(wanted) if unmet else NO_RESOURCES,
-        least=_least(cap, needs) if unmet else NO_RESOURCES,
+        least=(
+            _least(cap, needs, pools=len({*row.pools, pool}))
+            if unmet
+            else NO_RESOURCES
+        ),
         started_at_s=needs.started_at_s,
     )
 
@@ -397,12 +401,25 @@
     )
 
 
-def _least(cap: Resources, needs: Needs) -> Resources:
-    if not any(amounts(needs.first)):
+def _least(cap: Resources, needs: Needs, *, pools: int) -> Resources:
+    """Return the amount that a pool needs to start anything more.
+
+    It is nothing if the first start fits an equal part of the cap. Such a pool
+    gets its turn as its own runs end, and pools that took turns at one task
+    more than their part would go on exchanging it.
+    """
+    if not any(amounts(needs.first)) or _fits_part(cap, needs.first, pools):
         return NO_RESOURCES
     return clip(needs.used.plus(needs.first), cap)
 
 
+def _fits_part(cap: Resources, need: Resources, pools: int) -> bool:
+    return all(
+        not whole or one <= whole // pools
+        for whole, one in zip(amounts(cap), amounts(need), strict=True)
+    )
+
+
 def _unmet(one: Allotment) -> tuple[bool, ...]:
     return tuple(map(int.__gt__, amounts(one.wanted), amounts(one.amount)))
 
