Ask all watched peers once one of them has fallen silent

Cause: permit routes over peers that had fallen silent together were found out one after the other, each by a call of its own.

Change: a call without an answer has all watched peers asked, at most each 2 s.

--- a/packages/cyclamentrack/cyclamentrack/jobs/peer_health.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/peer_health.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 import trio
@@ -102,8 +102,12 @@
     """Calls peers and records in ``health`` which of them answer."""
 
     def __init__(self, *, peers: Peers, health: PeerHealth) -> None:
-        """Make all calls through ``peers``."""
+        """Make all calls through ``peers``.
+
+        ``on_silence`` is called after each call that went unanswered.
+        """
         self.health = health
+        self.on_silence: Callable[[], None] = _ignore
         self._peers = peers
 
     async def call(
@@ -120,6 +124,7 @@
             )
         except PeerUnreachableError:
             self.health.note_silence(address, asked_at=asked_at)
+            self.on_silence()
             raise
         self.health.note_answer(address)
         return reply
@@ -184,3 +189,7 @@
                     size *= 2
                     if unasked:
                         await trio.sleep(_ASK_MORE_S)
+
+
+def _ignore() -> None:
+    """Do nothing about a call that went unanswered."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
@@ -55,6 +55,9 @@
 # A node that has written its doubted row anew reaches the store but not this
 # peer, so it isn't doubted again soon.
 _DOUBT_AGAIN_S = 300.0
+# Peers often fall silent together. When one doesn't answer, all watched ones
+# are asked at once, but not more often than this.
+_ASK_ALL_AGAIN_S = 2.0
 # A write that failed is tried again after this time.
 _WRITE_AGAIN_S = 5.0
 # The feed of members is answered each 4 s at least.
@@ -111,11 +114,23 @@
         self._asking: set[str] = set()
         self._limiter = trio.CapacityLimiter(_MAX_PROBES)
         self._wake = trio.Event()
+        self._asked_all_at = -math.inf
+        peers.on_silence = self._ask_all
 
     def wake(self) -> None:
         """Look at once for peers to ask: members or owners have changed."""
         self._wake.set()
 
+    def _ask_all(self) -> None:
+        now = trio.current_time()
+        if now - self._asked_all_at < _ASK_ALL_AGAIN_S:
+            return
+        self._asked_all_at = now
+        for name, known in self._watched.items():
+            if name in self._members and not self._is_silent(name):
+                known.asked_at = -math.inf
+        self.wake()
+
     async def run(self) -> None:
         """Watch peers until cancelled."""
         async with trio.open_nursery() as nursery:
