--- a/features/jobs/cell.feature
+++ b/features/jobs/cell.feature
@@ -93,7 +93,7 @@
     And the workers' record is clean
 
   Scenario: No start exceeds a worker's capacity after it has shrunk
-    When 30 jobs of 8 tasks are queued
+    When 40 jobs of 8 tasks are queued
     And 1 second goes by
     And every worker shrinks to 3 cores
     And 12 seconds go by
