--- a/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/peer_watch.py
@@ -121,16 +121,6 @@
         """Look at once for peers to ask: members or owners have changed."""
         self._wake.set()
 
-    def _ask_all(self) -> None:
-        now = trio.current_time()
-        if now - self._asked_all_at < _ASK_ALL_AGAIN_S:
-            return
-        self._asked_all_at = now
-        for name, known in self._watched.items():
-            if name in self._members and not self._is_silent(name):
-                known.asked_at = -math.inf
-        self.wake()
-
     async def run(self) -> None:
         """Watch peers until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -144,6 +134,16 @@
                 with trio.move_on_after(_TICK_S):
                     await self._wake.wait()
 
+    def _ask_all(self) -> None:
+        now = trio.current_time()
+        if now - self._asked_all_at < _ASK_ALL_AGAIN_S:
+            return
+        self._asked_all_at = now
+        for name, known in self._watched.items():
+            if name in self._members and not self._is_silent(name):
+                known.asked_at = -math.inf
+        self.wake()
+
     def _forget_gone(self) -> None:
         for name in set(self._watched) - set(self._members):
             self._watched.pop(name)
