--- a/features/decisions/uneven.feature
+++ b/features/decisions/uneven.feature
@@ -55,19 +55,3 @@
     Given days of 20 and of 200 accounts
     When rounds of both are counted from second 8 to 9
     Then those with more accounts make 1.1 times the calls a waiting step at most
-
-  Scenario Outline: Lookups in a burst get what batch jobs can spare
-    Given 0.25 of the usual pool and a day, drawn with <seed>, on which lookups come 4 times as often
-    When the day is played with and without preemption
-    Then lookups of the burst get at least <more> more of what they wanted
-    And batch jobs get no less
-
-    Examples:
-      | seed | more |
-      | 2    | 0.2  |
-      | 4    | 0.2  |
-
-  Scenario: Nothing is stopped on a day without a burst
-    Given 1 of the usual pool and a day, drawn with 1, on which lookups come 1 times as often
-    When the day is played with and without preemption
-    Then no run was stopped
--- a/features/harness/fullpool.py
+++ b/features/harness/fullpool.py
@@ -2,8 +2,7 @@
 
 In each round some runs end, the dispatcher decides, and some permit requests
 are answered. New jobs replace completed ones, so that the number of open jobs
-stays the same. Preempted runs take some time to stop, with a checkpoint, and
-repeat a little of their work when they are resumed.
+stays the same.
 """
 
 import heapq
@@ -24,13 +23,11 @@
     QueueName,
     Step,
     StepName,
-    TaskName,
     WorkerEntry,
     WorkerState,
 )
 from cyclamentrack.jobs.permits import PermitCache, PermitCall
 from cyclamentrack.jobs.ports import Permits
-from cyclamentrack.jobs.preemption import Preemption
 from cyclamentrack.jobs.registry import JobRegistry, Phase, Placement, TaskRun
 from cyclamentrack.jobs.rounds import PermitRequest
 from cyclamentrack.resources import Resources
@@ -43,11 +40,6 @@
 _MIB_PER_CORE = 4096
 # Permit calls that the permit routes carry in one round.
 _CALLS_PER_ROUND = 2
-_STOP_S = 0.2
-_RESUME_S = 0.1
-# A checkpointing run stores one after each second of work.
-_CHECKPOINT_S = 1.0
-_POLL_S = 1.0
 
 
 class Kind(msgspec.Struct, frozen=True, kw_only=True):
@@ -115,7 +107,6 @@
         account_weight: AccountWeight = no_weight,
         round_s: float = 0.01,
         seed: int = 1,
-        preempts: bool = True,
     ) -> None:
         """Submit the jobs; nothing runs before the first round."""
         self._account_weight = account_weight
@@ -133,20 +124,8 @@
             fleet=self.fleet,
             permits=self.permits,
             urgent_queues=lambda: True,
-            preemption=Preemption(
-                registry=self.registry,
-                stop_s=_STOP_S,
-                recording=lambda: preempts,
-            ),
             account_weight=self._account_weight,
         )
-        self.preempted = 0
-        self.repeated_core_s = 0.0
-        # The share of a task's work that its last checkpoint holds.
-        self._saved: dict[TaskName, float] = {}
-        self._stops: list[tuple[float, int, Placement]] = []
-        self._stop_draws = random.Random(seed)
-        self._polled_at = self.now
         self._chance = random.Random(seed)
         self._kinds = kinds
         self._round_s = round_s
@@ -174,11 +153,6 @@
             worker.heard_at = self.now
         while self._ends and self._ends[0][0] <= self.now:
             self._end(heapq.heappop(self._ends)[-1])
-        while self._stops and self._stops[0][0] <= self.now:
-            self._end_stopped(heapq.heappop(self._stops)[-1])
-        if self.now >= self._polled_at + _POLL_S:
-            self._polled_at = self.now
-            self._learn_checkpoints()
         self.submit_due()
 
     def decide(self) -> int:
@@ -191,8 +165,6 @@
             self._place(
                 assignment.task, assignment.worker.entry.id, assignment.permit
             )
-        for stopped in outcome.preempted:
-            self._stop(stopped.placement)
         self.answer_permits(outcome.permit_requests)
         self.log.extend(
             (str(assignment.task.name), assignment.worker.entry.id)
@@ -269,71 +241,16 @@
             since=self.now,
             confirmed_at=self.now,
             permit=permit,
-            resumed=bool(task.checkpoint),
         )
         self.placed += 1
         self.task_started(task)
         self.registry.jobs[task.name.job].started = True
-        ends_at = self.now + self._left_s(task.placement)
+        ends_at = self.now + self.work_s(task.placement)
         heapq.heappush(self._ends, (ends_at, self.placed, task.placement))
 
-    def _left_s(self, placement: Placement) -> float:
-        """Return how long a run takes from its last checkpoint."""
-        whole_s = self.work_s(placement)
-        saved = self._saved.get(placement.task)
-        if saved is None:
-            return whole_s
-        return whole_s * (1 - saved) + _RESUME_S
-
-    def _stop(self, placement: Placement) -> None:
-        """Stop a run, which takes some time and then stores a checkpoint."""
-        placement.stopping = True
-        self.preempted += 1
-        takes_s = self._stop_draws.uniform(_STOP_S / 4, _STOP_S)
-        heapq.heappush(
-            self._stops, (self.now + takes_s, self.preempted, placement)
-        )
-
-    def _end_stopped(self, placement: Placement) -> None:
-        name = placement.task
-        task = self.registry.task(name)
-        if task is None or task.placement is not placement:
-            return
-        self.fleet.workers[placement.worker].release(
-            task=name, run=placement.run
-        )
-        whole_s = self.work_s(placement)
-        resumed_s = _RESUME_S if name in self._saved else 0.0
-        worked_s = max(self.now - placement.since - resumed_s, 0.0)
-        self._saved[name] = self._saved.get(name, 0.0) + worked_s / whole_s
-        task.placement = None
-        task.checkpoint = 'saved'
-        task.idle_since = self.now
-        step = self.registry.step_of(name)
-        self.repeated_core_s += (
-            (_RESUME_S + _STOP_S) * step.step.need.milli_cores / 1000
-        )
-
-    def _learn_checkpoints(self) -> None:
-        """Note the checkpoints that workers list with a poll."""
-        for step in self.registry.open_steps.values():
-            if not step.step.checkpointing:
-                continue
-            for task in step.tasks:
-                placement = task.placement
-                if (
-                    placement is not None
-                    and self.now - placement.since >= _CHECKPOINT_S
-                ):
-                    task.checkpoint = 'saved'
-                    placement.checkpointed_at = self.now
-
     def _end(self, placement: Placement) -> None:
-        name = placement.task
-        known = self.registry.task(name)
-        if known is None or known.placement is not placement:
-            return
         self.ended += 1
+        name = placement.task
         self.fleet.workers[placement.worker].release(
             task=name, run=placement.run
         )
--- a/features/harness/uneven.py
+++ b/features/harness/uneven.py
@@ -28,8 +28,7 @@
 _FULL_WORKERS = 128
 _PERMIT_ROUTES = 20
 _DAY_S = 30.0
-# Jobs that haven't ended this long after the last arrival count as worthless,
-# unless a load says otherwise.
+# Jobs that haven't ended this long after the last arrival count as worthless.
 _AFTER_S = 15.0
 _LATE_FACTOR = 3.0
 _LATE_VALUE = 0.2
@@ -40,7 +39,6 @@
 _WEIGHT_FACTOR = 1.5
 _RENEW_S = 0.5
 _FIGURES_AGE_S = 2.0
-_CHECKPOINTING_SHARE = 0.9
 _SPEEDS = (1.0, 1.1, 1.2, 1.3)
 
 LOOKUPS = make_kind(
@@ -61,7 +59,6 @@
 
     ``scale`` is the size of the pool and of the load, 1 for 128 workers. The
     first ``bursting`` accounts send ``times`` their usual from second 7 to 17.
-    While ``doubled``, all send ``lookups_times`` their usual lookups.
     """
 
     scale: float = 0.25
@@ -70,9 +67,7 @@
     times: float = 6.0
     outages: tuple[tuple[float, float], ...] = ((13.0, 14.0), (18.0, 22.0))
     doubled: tuple[float, float] = (8.7, 12.7)
-    lookups_times: float = 2.0
     burst: tuple[float, float] = (7.0, 17.0)
-    after_s: float = _AFTER_S
     seed: int = 1
 
     def usual(self, kind: Kind, account: int) -> float:
@@ -97,7 +92,7 @@
         if account < self.bursting and self.burst[0] <= at_s < self.burst[1]:
             usual *= self.times
         if kind is LOOKUPS and self.doubled[0] <= at_s < self.doubled[1]:
-            usual *= self.lookups_times
+            usual *= 2
         return usual
 
 
@@ -144,15 +139,11 @@
         *,
         weight: Callable[[int], float] | None = None,
         admission: bool = False,
-        preempts: bool = True,
     ) -> None:
         """Start an empty pool; ``weight`` is by number of the account.
 
-        Without ``admission`` every job is accepted, and without ``preempts``
-        no run is stopped for urgent work.
+        Without ``admission`` every job is accepted.
         """
-        # Drawn apart, so that days are the same with and without checkpoints.
-        self._kind_draws = random.Random(load.seed)
         self._admission = admission
         self._figures: PoolFigures | None = None
         self._published_at = 0.0
@@ -175,7 +166,6 @@
             account_weight=self.account_weight,
             round_s=0.04,
             seed=load.seed,
-            preempts=preempts,
         )
         self.backlog = Backlog(registry=self.registry)
         self._routes = max(int(_PERMIT_ROUTES * load.scale), 2)
@@ -209,7 +199,7 @@
 
     def play_day(self) -> None:
         """Play until the last job's caller has lost interest."""
-        while self.at_s < _DAY_S + self._load.after_s:
+        while self.at_s < _DAY_S + _AFTER_S:
             self.advance()
             if self._recording:
                 self._publish()
@@ -351,8 +341,6 @@
                     ),
                     estimate_s=work_s * draw.choice((wrong, 1 / wrong)),
                     after=(number - 1,) if number else (),
-                    checkpointing=kind is BATCH
-                    and self._kind_draws.random() < _CHECKPOINTING_SHARE,
                 )
             )
         job = Job(
--- a/features/steps/uneven_steps.py
+++ b/features/steps/uneven_steps.py
@@ -9,11 +9,9 @@
 from cyclamentrack.jobs.registry import JobRegistry
 from features.harness.calls import CallCounter
 from features.harness.jobworld import POOL, make_queue, make_step
-from features.harness.uneven import LOOKUPS, UnevenDay, UnevenLoad, value
+from features.harness.uneven import UnevenDay, UnevenLoad, value
 
 _HOUR_S = 3600.0
-# Virtual time at which a day begins.
-_DAY_BEGAN_AT = 100.0
 
 
 def _key(priority, slack, *, within=True, share=0.0, lasting=False):
@@ -170,55 +168,3 @@
 def check_flat(context, times):
     fewer, more = context.calls_a_step
     assert more <= times * fewer, context.calls_a_step
-
-
-@given(
-    '{scale:g} of the usual pool and a day, drawn with {seed:d}, on which '
-    'lookups come {times:g} times as often'
-)
-def make_burst(context, scale, seed, times):
-    context.load = UnevenLoad(
-        scale=scale,
-        bursting=0,
-        times=1.0,
-        outages=(),
-        lookups_times=times,
-        after_s=60.0,
-        seed=seed,
-    )
-
-
-@when('the day is played with and without preemption')
-def play_both(context):
-    context.days = [
-        UnevenDay(context.load, preempts=preempts) for preempts in (True, False)
-    ]
-    for day in context.days:
-        day.play_day()
-
-
-def _in_burst(context, request):
-    since, until = context.load.doubled
-    at_s = request.first_at - _DAY_BEGAN_AT
-    return request.queue == LOOKUPS.queue and since <= at_s < until + 1
-
-
-def _values(context, chosen):
-    return [value(day.verdicts(chosen)) for day in context.days]
-
-
-@then('lookups of the burst get at least {more:g} more of what they wanted')
-def check_gain(context, more):
-    found = _values(context, lambda one: _in_burst(context, one))
-    assert found[0] >= found[1] + more, found
-
-
-@then('batch jobs get no less')
-def check_batch(context):
-    found = _values(context, lambda one: one.queue != LOOKUPS.queue)
-    assert found[0] >= found[1], found
-
-
-@then('no run was stopped')
-def check_no_stops(context):
-    assert not context.days[0].preempted, context.days[0].preempted
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -26,7 +26,6 @@
 from cyclamentrack.jobs.order import ReadyStep, SchedulingKey, ready_step
 from cyclamentrack.jobs.permit_requests import PermitPlanner
 from cyclamentrack.jobs.permits import PermitCache
-from cyclamentrack.jobs.preemption import Preemption
 from cyclamentrack.jobs.registry import JobRegistry, StepRun, TaskRun
 from cyclamentrack.jobs.rounds import Round, RoundState
 
@@ -45,12 +44,10 @@
         permits: PermitCache,
         urgent_queues: Callable[[], bool],
         caps: AccountCaps | None = None,
-        preemption: Preemption | None = None,
         account_weight: AccountWeight = no_weight,
     ) -> None:
         """Place the registry's open steps on the fleet's workers."""
         self._caps = caps
-        self._preemption = preemption or Preemption(registry=registry)
         self._account_weight = account_weight
         self._urgent_queues = urgent_queues
         self._kept_for: dict[StepName, frozenset[WorkerId]] = {}
@@ -85,7 +82,6 @@
             urgent_queues=self._urgent_queues(),
             max_starts=max_starts,
             free_permit_routes=self._permits.free_permit_routes(),
-            preemption=self._preemption,
             caps=caps,
         )
         ready_steps = self._ready_steps(now)
@@ -98,16 +94,12 @@
             self._place_step(ready, state)
             if not state.needs_plan(ready.step.step):
                 self._permit_planner.request_for(ready, state)
-                state.note_shortage(ready, self._permits.of(ready.step.name))
                 continue
             name = ready.step.name
             last = previous.get(name, frozenset())
             plan = self._permit_planner.plan(ready, state, last)
             if plan is not None:
                 self._kept_for[name] = frozenset(plan.starts)
-        state.outcome.preempted = self._preemption.choose(
-            state.shortages, now=now
-        )
         if caps is not None:
             caps.end()
         return state.outcome
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -54,7 +54,6 @@
     Timings,
     WorkerOrders,
 )
-from cyclamentrack.jobs.preemption import Preemptible, Preemption
 from cyclamentrack.jobs.records import (
     VOTERS,
     Claim,
@@ -84,7 +83,6 @@
 
 _log = logging.getLogger(__name__)
 
-_MS_PER_S = 1000
 # A round runs at least this often, because due times, expiring permits and
 # ending quarantines don't wake the loop.
 _MAX_ROUND_INTERVAL_S = 0.2
@@ -94,9 +92,6 @@
 # A start without an answer for this long no longer counts as under way: the
 # worker is unreachable rather than busy.
 _START_ANSWER_S = 0.3
-# Nothing is preempted while a journal commit takes longer than this: a start in
-# the capacity would come too late for an urgent job.
-_MAX_PREEMPTION_LAG_S = 0.2
 # No rounds are decided while a journal commit takes longer than this: further
 # starts would only queue up behind it.
 _MAX_COMMIT_LAG_S = 0.5
@@ -561,13 +556,6 @@
             permits=permits,
             urgent_queues=self._has_urgent_queues,
             caps=self.caps,
-            preemption=Preemption(
-                registry=self.registry,
-                stop_s=self.timings.stop_s,
-                recording=lambda: (
-                    self.journal.commit_lag_s <= _MAX_PREEMPTION_LAG_S
-                ),
-            ),
             account_weight=self.account_weight,
         )
         while True:
@@ -624,8 +612,6 @@
             steps.setdefault(assigned.step.name, []).append(assigned)
         for group in steps.values():
             self.record_tasks(group[0].step, [one.task for one in group])
-        for stopped in outcome.preempted:
-            _preempt(self, stopped)
         if placed:
             self._starting.extend(placed)
             self.nursery.start_soon(launcher.launch, placed)
@@ -708,22 +694,6 @@
         )
 
 
-def _preempt(owner: SliceOwner, stopped: Preemptible) -> None:
-    """Stop a run for urgent work; its task waits to be placed again."""
-    placement = stopped.placement
-    _log.info(
-        'run preempted task=%s run=%d worker=%s times=%d loss_ms=%d',
-        placement.task,
-        placement.run,
-        placement.worker,
-        stopped.task.preempted,
-        int(stopped.loss_s * _MS_PER_S),
-    )
-    owner.metrics.count('runs_preempted')
-    owner.record_tasks(stopped.step, [stopped.task])
-    owner.stop_run(placement)
-
-
 def _queue_without_terms(job: Job) -> Queue:
     """Return a queue for a job that an earlier version has stored."""
     return Queue(name=job.queue, host='', path_prefix='', pool=job.pool)
--- a/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
@@ -87,8 +87,8 @@
         ]
         if not left:
             return
-        capacity_left = state.neglected(step) or state.admit_demand(
-            ready, len(left)
+        capacity_left = state.neglected(step) or state.demand.admit(
+            step, len(left)
         )
         known = self._permits.of(step.name)
         if not known.may_call(state.now):
@@ -96,10 +96,6 @@
         if state.starts_left <= 0 and not known.none_fresh(state.now):
             return
         wanted = state.eligible(step, known)
-        if not wanted and capacity_left:
-            wanted = _without_permit(
-                state.preemptible_workers(ready, known), known, state
-            )
         if not wanted:
             self._renew_ahead(entry, step, state)
         elif capacity_left:
@@ -233,19 +229,6 @@
     return found
 
 
-def _without_permit(
-    workers: list[Worker], known: StepPermits, state: RoundState
-) -> list[Worker]:
-    """Return the workers if none of them has a permit that holds."""
-    permitted = any(
-        known.fresh_permit(
-            one.entry.id, now=state.now, incarnation=one.incarnation
-        )
-        for one in workers
-    )
-    return [] if permitted else workers
-
-
 def _is_refused(known: StepPermits, worker: Worker, state: RoundState) -> bool:
     return known.is_refused(
         worker.entry.id, now=state.now, incarnation=worker.incarnation
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -335,11 +335,9 @@
     long a draining worker lets its runs continue, and ``status_s`` how long
     callers may ask for the state of a closed job. A change of the
     configuration must be in force everywhere within ``configuration_s``.
-    Stopping a run takes up to ``stop_s``.
     """
 
     worker_lease_s: float
     drain_s: float
     status_s: float
     configuration_s: float = 2.0
-    stop_s: float = 0.9
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -79,7 +79,6 @@
     instance: InstanceId = InstanceId('')
     suspicion: int = 0
     crashes: int = 0
-    preempted: int = 0
 
 
 class Phase(enum.Enum):
@@ -97,8 +96,7 @@
     best-effort run in percent, which is being ordered while ``pacing``, and
     ``reading`` the tail response time of a serving run in milliseconds.
     ``sent`` is set once a start order may have reached the worker, and
-    ``unanswered`` counts the orders to start without an answer. A checkpoint
-    of the run was last learnt of at ``checkpointed_at``.
+    ``unanswered`` counts the orders to start without an answer.
     """
 
     task: TaskName
@@ -121,15 +119,13 @@
     resumed: bool = False
     stopping: bool = False
     stop_acknowledged_at: float = 0.0
-    checkpointed_at: float = 0.0
 
 
 class TaskRun(msgspec.Struct, kw_only=True, eq=False):
     """One task: the number of its runs so far and its current placement.
 
     ``crashes`` counts the workers that crashed while it ran or started there,
-    and ``suspicion`` rises with each crash that it may have caused. Its runs
-    were ``preempted`` so many times, last at ``preempted_at``.
+    and ``suspicion`` rises with each crash that it may have caused.
     """
 
     name: TaskName
@@ -138,8 +134,6 @@
     failures: int = 0
     suspicion: int = 0
     crashes: int = 0
-    preempted: int = 0
-    preempted_at: float = float('-inf')
     checkpoint: str = ''
     placement: Placement | None = None
     idle_since: float = 0.0
@@ -613,7 +607,6 @@
         placement.instance if placement else InstanceId(''),
         task.suspicion,
         task.crashes,
-        task.preempted,
     )
 
 
@@ -634,7 +627,6 @@
     task.failures = row.failures
     task.suspicion = row.suspicion
     task.crashes = row.crashes
-    task.preempted = row.preempted
     task.checkpoint = row.checkpoint
     task.placement = None
     if row.worker:
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -17,19 +17,12 @@
 from cyclamentrack.jobs.headroom import Headroom
 from cyclamentrack.jobs.layout import (
     fits_start,
-    is_compatible,
     with_free_capacity,
     workers_at_limit,
 )
 from cyclamentrack.jobs.model import Step, TaskName
 from cyclamentrack.jobs.order import ReadyStep
 from cyclamentrack.jobs.permits import StepPermits
-from cyclamentrack.jobs.preemption import (
-    Preemptible,
-    Preemption,
-    Shortage,
-    may_preempt,
-)
 from cyclamentrack.jobs.registry import JobRegistry, JobRun, StepRun, TaskRun
 from cyclamentrack.resources import Resources
 
@@ -51,9 +44,6 @@
 # _IDLE_LIMIT_S after the job began to wait.
 _NEGLECT_S = 1.2
 _IDLE_LIMIT_S = 2.4
-# Share of the free processors that waiting urgent tasks can use at least: the
-# rest is on workers that may not run them or have too little each.
-_USABLE_SHARE = 0.5
 
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
@@ -95,15 +85,10 @@
         self._cores = free.milli_cores
         self._devices = free.accelerators
 
-    def admit(
-        self, step: StepRun, count: int, *, stoppable_milli: int = 0
-    ) -> bool:
-        """Claim capacity for a step's tasks; return false if none is left.
-
-        Processors of runs that may be stopped count as ``stoppable_milli``.
-        """
+    def admit(self, step: StepRun, count: int) -> bool:
+        """Claim capacity for a step's tasks; return false if none is left."""
         need = charge(step.step)
-        if need.milli_cores and self._cores + stoppable_milli <= 0:
+        if need.milli_cores and self._cores <= 0:
             return False
         if need.accelerators and self._devices <= 0:
             return False
@@ -113,11 +98,10 @@
 
 
 class Round(msgspec.Struct, kw_only=True):
-    """Result of one round: assignments, permit requests, runs to stop."""
+    """Result of one round: the assignments and the permit requests."""
 
     assignments: list[Assignment] = msgspec.field(default_factory=list)
     permit_requests: list[PermitRequest] = msgspec.field(default_factory=list)
-    preempted: list[Preemptible] = msgspec.field(default_factory=list)
 
 
 class RoundState:
@@ -137,7 +121,6 @@
         urgent_queues: bool,
         max_starts: int,
         free_permit_routes: int,
-        preemption: Preemption,
         caps: CapRound | None = None,
     ) -> None:
         """Begin with no capacity kept and nothing assigned."""
@@ -154,10 +137,6 @@
         self._caps = caps
         self.usable = usable
         self.quarantined = quarantined
-        self._preemption = preemption
-        self._free_milli = self.capacity_index.total_free.milli_cores
-        self._urgent_milli = 0
-        self.shortages: list[Shortage] = []
         self.demand = Demand(self.capacity_index.total_free)
         self.outcome = Round()
         self.assigned: set[TaskName] = set()
@@ -222,11 +201,6 @@
         Capacity that is kept for a planned start is only open to tasks that
         are expected to end before that start.
         """
-        preemption = self._preemption
-        if preemption.reserved and preemption.is_reserved(
-            worker.entry.id, step, self.now
-        ):
-            return False
         until = self.kept_until.get(worker.entry.id)
         if until is None:
             return True
@@ -247,62 +221,6 @@
         """Return how many more of a step's tasks the cap lets start."""
         return self._caps.room_left(ready) if self._caps else None
 
-    def admit_demand(self, ready: ReadyStep, count: int) -> bool:
-        """Claim capacity for permit requests; return false if none is left.
-
-        Urgent steps may also claim that of runs that may be stopped.
-        """
-        step = ready.step
-        return self.demand.admit(step, count) or (
-            may_preempt(ready, now=self.now, stop_s=self._preemption.stop_s)
-            and self.demand.admit(
-                step,
-                count,
-                stoppable_milli=self._preemption.stoppable_milli(self.now),
-            )
-        )
-
-    def preemptible_workers(
-        self, ready: ReadyStep, known: StepPermits
-    ) -> list[Worker]:
-        """Return workers that a step may use once runs there are stopped."""
-        if ready.entry.queue.priority > 0:
-            return []
-        names = self._preemption.candidates(self.now)
-        if not names or not may_preempt(
-            ready, now=self.now, stop_s=self._preemption.stop_s
-        ):
-            return []
-        return [
-            worker
-            for worker in self._reachable(ready.step, known)
-            if worker.entry.id in names
-        ]
-
-    def note_shortage(self, ready: ReadyStep, known: StepPermits) -> None:
-        """Note urgent tasks that wait for capacity to become free."""
-        if ready.entry.queue.priority > 0 or self.starts_left <= 0:
-            return
-        left = [
-            task
-            for task in self.placeable_tasks(ready)
-            if task.name not in self.assigned and not task.suspicion
-        ]
-        self._urgent_milli += charge(ready.step.step).milli_cores * len(left)
-        if self._urgent_milli <= _USABLE_SHARE * self._free_milli:
-            return
-        if not left or not may_preempt(
-            ready, now=self.now, stop_s=self._preemption.stop_s
-        ):
-            return
-        self.shortages.append(
-            Shortage(
-                step=ready.step,
-                count=len(left),
-                workers=lambda: self._permitted(ready, known),
-            )
-        )
-
     def needs_plan(self, step: Step) -> bool:
         """Return whether capacity must be kept for a step's tasks."""
         return needs_plan(step, self._capacities.values())
@@ -322,7 +240,6 @@
             account = self._registry.jobs[step.name.job].job.account
             self._caps.assign(account, step.step)
         self.headroom.subtract(charge(step.step).milli_cores)
-        self._free_milli -= charge(step.step).milli_cores
         worker.charge_run(
             task=task.name, run=task.run + 1, step=step.step, isolated=isolated
         )
@@ -446,22 +363,6 @@
             return False
         return not entry.any_placed
 
-    def _reachable(self, step: StepRun, known: StepPermits) -> list[Worker]:
-        """Return the workers that may run a step, free or not."""
-        return [
-            worker
-            for worker in self._allowed(step, self.usable, known)
-            if worker.entry.id not in self.kept_until
-            and is_compatible(step.step, worker)
-        ]
-
-    def _permitted(self, ready: ReadyStep, known: StepPermits) -> list[Worker]:
-        """Return the workers that a step may use, free or not."""
-        workers = self._reachable(ready.step, known)
-        if ready.entry.queue.permits is None:
-            return workers
-        return [one for one in workers if one.entry.id in known.permitted]
-
     def _left_within_cap(self, ready: ReadyStep) -> list[TaskRun]:
         room = self.within_cap(ready)
         if room is None:
@@ -496,7 +397,7 @@
             worker
             for worker in fitting
             if not self.available_to(step, worker)
-            and self.kept_until.get(worker.entry.id, bound) > bound
+            and self.kept_until[worker.entry.id] > bound
         ]
 
     def _allowed(
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -409,8 +409,6 @@
         placement.percent = run.percent
         placement.reading = run.reading
         if run.checkpoint:
-            if run.checkpoint != task.checkpoint:
-                placement.checkpointed_at = now
             self._owner.registry.record_checkpoint(run.task, run.checkpoint)
 
     async def _stop_unknown_run(self, run: RunReport) -> None:
--- a/packages/cyclamentrack/cyclamentrack/preemption.py
+++ b/packages/cyclamentrack/cyclamentrack/preemption.py
@@ -15,7 +15,6 @@
 from cyclamentrack.ledger import Ledger
 from cyclamentrack.messages import AttemptRequest, Site
 from cyclamentrack.resources import Resources
-from cyclamentrack.victims import stops_to_fit
 from cyclamentrack.work import Work
 
 # Only the newest attempts are considered, which bounds the cost of a call.
@@ -134,9 +133,10 @@
             memory_mib=max(row.memory, 0),
             accelerators=max(row.accelerators, 0),
         )
-        return stops_to_fit(
-            need,
-            free=free,
-            candidates=candidates,
-            need_of=lambda candidate: candidate.work.resources,
-        )
+        victims: list[PreemptibleAttempt] = []
+        for candidate in candidates:
+            if need.fits(free):
+                break
+            free = free.plus(candidate.work.resources)
+            victims.append(candidate)
+        return victims if need.fits(free) else []
