Count waiting jobs as unknown until the leases of all pools have been read

What callers would see: GET of a queue that was moved gives Waiting 0 while its jobs wait in the former pool, at nodes that have just started.

Cause: the count is the sum over the leases that a node knows. One that it hasn't read yet, as the store doesn't answer for that pool's rows or is slow, wasn't in the sum.

Change: the sum is unknown (503) until each listed lease has been read, or brought by the feed.

--- a/features/jobs/queue_moves.feature
+++ b/features/jobs/queue_moves.feature
@@ -73,6 +73,18 @@
     And 4 seconds go by
     Then every node counts 1 waiting job of the queue
 
+  Scenario: Jobs of a former pool whose lease isn't read yet are not counted as none
+    Given no worker of the first pool is listed
+    When a job of the steps "4" is submitted
+    And 1 second goes by
+    And its queue is removed, and added again with the pool "annex"
+    And 20 seconds go by
+    And the lease of the first pool can't be read, and all nodes are replaced
+    Then for 6 seconds no node counts fewer than 1 waiting job of the queue
+    When the lease can be read again
+    And 6 seconds go by
+    Then every node counts 1 waiting job of the queue
+
   Scenario: A pool that has no jobs of a queue doesn't make its count unknown
     When 20 seconds go by
     And the jobs of the pool "annex" can't be read, and its owner is killed
--- a/features/steps/queue_move_steps.py
+++ b/features/steps/queue_move_steps.py
@@ -5,7 +5,7 @@
 
 from cyclamentrack.ids import PoolName
 from cyclamentrack.jobs.model import Job, QueueName
-from cyclamentrack.jobs.records import STEPS
+from cyclamentrack.jobs.records import CLAIMS, STEPS
 from cyclamentrack.jobs.service import RequestOutcome
 from features.harness.jobworld import POOL, make_queue
 
@@ -98,7 +98,19 @@
     _kill_unreadable(context.jobs, PoolName(name))
 
 
+@when("the lease of the first pool can't be read, and all nodes are replaced")
+def replace_unread(context):
+    world = context.jobs
+    world.rows.unanswered_scans.add((CLAIMS, POOL))
+    names = list(world.cells)
+    for name in names:
+        world.kill_node(name)
+    for name in names:
+        world.start_node(f'later-{name}')
+
+
 @when('the jobs can be read again')
+@when('the lease can be read again')
 def read_again(context):
     context.jobs.rows.unanswered_scans.clear()
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/claims.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/claims.py
@@ -110,6 +110,12 @@
             if not seen.lease.retired:
                 yield pool
 
+    def has_unread(self, *, besides: PoolName) -> bool:
+        """Return whether another pool may have a lease that isn't known yet."""
+        return not self.loaded.is_set() or any(
+            part != besides and part not in self.seen for part in self._unread
+        )
+
     def waiting(
         self, pool: PoolName, *, now: float
     ) -> dict[QueueName, int] | None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -309,10 +309,13 @@
         """Count the queue's waiting jobs that were accepted for other pools.
 
         Returns ``None`` if the count is unknown. A pool without a recent count
-        matters only if it may have such jobs.
+        matters only if it may have such jobs, as one whose lease this node
+        hasn't read yet may.
         """
         total = 0
         tracker = self._cell.lease_tracker
+        if tracker.has_unread(besides=pool):
+            return None
         for other in list(tracker.seen):
             if other == pool:
                 continue
