Make room for callers while other clients send requests ahead

What callers saw: while 600 clients pipeline requests and read nothing, an ordinary caller's connections to a node of 128 MB are closed at once, 60 in 6.7 s.

Cause: at the limit of connections, only one without a complete request or with an unread response makes room. One whose client sends requests ahead is always being served until its buffers are full.

Change: while a new connection has been refused, a connection whose next request has arrived when its response is sent is closed before that request is served. Nothing that runs is cut off.

--- a/features/decisions/intake.feature
+++ b/features/decisions/intake.feature
@@ -69,6 +69,28 @@
     And connections "d" are opened
     Then "b" was closed for "connections" and no other
 
+  Scenario: A client that sends requests ahead makes room for one that was refused
+    When connections "a b c" are opened
+    And the requests of "a b c" are complete
+    And connections "d" are opened
+    And the request of "a" is answered, and the next has come along
+    And the request of "b" is answered, and the next has come along
+    Then of "a b c" only "a" was closed
+    When connections "e" are opened
+    Then "e" was accepted
+
+  Scenario: A client that waits for its response isn't closed for one that was refused
+    When connections "a b c" are opened
+    And the requests of "a b c" are complete
+    And connections "d" are opened
+    And the request of "a" is answered
+    Then of "a b c" none was closed
+
+  Scenario: Clients that send requests ahead are kept while there is room
+    When connections "a b c" are opened
+    And the request of "a" is answered, and the next has come along
+    Then no connection was closed
+
   Scenario Outline: <case>
     When connections "a b" are opened
     And "a" has sent 100 bytes
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -55,6 +55,11 @@
     context.intake.answered(connection.entry, 0)
 
 
+@when('the request of "{name}" is answered, and the next has come along')
+def answer_pipelined(context, name):
+    context.intake.answered(context.connections[name].entry, 100)
+
+
 @when('the response of "{name}" can\'t be sent')
 def block_response(context, name):
     entry = context.connections[name].entry
@@ -88,6 +93,23 @@
     assert not _closed(context), _closed(context)
 
 
+@then('of "{names}" only "{name}" was closed')
+def check_closed_of(context, names, name):
+    found = [one for one in names.split() if context.connections[one].reason]
+    assert found == [name], found
+
+
+@then('of "{names}" none was closed')
+def check_none_closed_of(context, names):
+    found = [one for one in names.split() if context.connections[one].reason]
+    assert not found, found
+
+
+@then('"{name}" was accepted')
+def check_accepted(context, name):
+    assert context.connections[name].entry is not None
+
+
 @then('"{name}" was refused')
 def check_refused(context, name):
     assert context.connections[name].entry is None
--- a/packages/cyclamentrack-daemon/cyclamentrack_daemon/intake.py
+++ b/packages/cyclamentrack-daemon/cyclamentrack_daemon/intake.py
@@ -100,6 +100,8 @@
         self.now_s = 0.0
         self.held = 0
         self.closed: Counter[Reason] = Counter()
+        # Whether a connection was refused, and none has been admitted since.
+        self._turned_away = False
         # In the order in which they began to wait for a request.
         self._entries: dict[Entry, None] = {}
 
@@ -113,14 +115,17 @@
 
         At the limit, the connection that has waited longest without a
         complete request, or without taking its response, is closed instead,
-        if there is one.
+        if there is one. Otherwise the next one that sends requests ahead of
+        its responses makes room for a later connection.
         """
-        if len(self._entries) >= self.limits.connections:
+        if self._is_full():
             longest = next(filter(self._may_yield, self._entries), None)
             if longest is None:
                 self.closed[Reason.CONNECTIONS] += 1
+                self._turned_away = True
                 return None
             self._close(longest, Reason.CONNECTIONS)
+        self._turned_away = False
         entry = Entry(connection=connection, now_s=self.now_s)
         self._entries[entry] = None
         return entry
@@ -144,6 +149,9 @@
         """Count a response as sent; ``unread`` bytes of the next came along."""
         if entry not in self._entries:
             return
+        if unread and self._turned_away and self._is_full():
+            self._close(entry, Reason.CONNECTIONS)
+            return
         self.held += unread - entry.held
         entry.held = unread
         entry.started_at = self.now_s if unread else None
@@ -177,6 +185,9 @@
             if not entry.connection.has_request:
                 self._close(entry, Reason.IDLE)
 
+    def _is_full(self) -> bool:
+        return len(self._entries) >= self.limits.connections
+
     def _may_yield(self, entry: Entry) -> bool:
         """Whether a connection may be closed for a new one."""
         if entry.sending_since is not None:
