Bound the tasks that one job may have in all its steps

Callers saw no answer to a job of 200 steps of 10,000 tasks, a body of under 30 KB, nor to anything else at that node for a minute: its owner made an object for each of 2,000,000 tasks. The decoder bounded the number of steps and the tasks of each, never their product.

A job now has 10,000 tasks at most, which is what one step may have; more is answered 400 with the limit. Jobs of the deployments have some dozens. The limit is one for all nodes, so that a retry at another node is answered alike.

--- a/features/platform/callers.feature
+++ b/features/platform/callers.feature
@@ -17,6 +17,7 @@
       | no steps                | POST   | /lookups/00000000000000aa | {"Steps":[]}                                    | 400    |
       | negative processors     | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"Cpu":-5}]}                | 400    |
       | excessive count         | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":99999999}]}                  | 400    |
+      | more tasks than allowed | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":6000},{"Count":6000}]}       | 400    |
       | text as number          | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":"two"}]}                     | 400    |
       | depends on itself       | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"After":[0]}]}             | 400    |
       | depends on a later one  | POST   | /lookups/00000000000000aa | {"Steps":[{"Count":1,"After":[1]},{"Count":1}]} | 400    |
--- a/features/processes/store.py
+++ b/features/processes/store.py
@@ -35,6 +35,13 @@
         """Write a row as the operator, a worker or another writer does."""
         self._apply({(table, '', key): body}, [])
 
+    def put_batch(self, batch):
+        """Write the rows of a batch of the product, without conditions."""
+        puts = {
+            (key.table, key.part, key.key): body for key, body in batch.puts
+        }
+        self._apply(puts, [])
+
     def remove(self, table, key):
         """Remove a row as the platform does."""
         self._apply({}, [(table, '', key)])
--- a/features/processes/workers.py
+++ b/features/processes/workers.py
@@ -26,7 +26,8 @@
 
     def __init__(self, task, number, spec):
         job, _, step, _ = task.split('.')
-        plan = json.loads(spec)['steps'][int(step)]
+        plans = json.loads(spec)['steps']
+        plan = plans[int(step) % len(plans)]
         self.task = task
         self.job = job
         self.number = number
