Refuse jobs that a pool's owner has no memory for, and park what is stored

Callers who only sent jobs inside all limits, and read their answers, ended processes: the owner of a pool kept every accepted job, and admission control weighs time alone, which jobs without an estimate don't take.

An owner now estimates what it keeps for jobs. Its limit follows from the memory of the smallest node, since any node may have to take over all pools. The lease publishes the room that is left; a node refuses a job that doesn't fit with 429 and Retry-After before it stores anything, after looking up whether it is a repetition. A job must leave room for 64 more of its size, so large jobs are refused first. What nodes accepted with old figures, or what a new owner finds stored, stays in the store ("parked") until there is room; a job that has started is always loaded. A stored job of an earlier version with over 10,000 tasks is failed without being loaded. A new owner reads the rows of jobs page by page. A task without failures no longer has a set of its own.

--- a/features/processes/accepted_work.feature
+++ b/features/processes/accepted_work.feature
@@ -14,3 +14,13 @@
       | one job of 2,000,000 tasks          | 1     | 128    |
       | jobs of 200 steps of 100 tasks      | 1     | 128    |
       | jobs of 200 steps of 100 tasks      | 3     | 128    |
+      | jobs of 200 steps of 50 tasks       | 1     | 128    |
+      | jobs of 200 steps of 50 tasks       | 3     | 128    |
+      | small jobs with long texts          | 1     | 96     |
+      | small jobs with long texts          | 3     | 96     |
+
+  Scenario: A node starts though more is stored than it can hold
+    When a node of 128 MB and 400 descriptors starts with stored jobs
+    Then each process lives and stays within its memory and descriptors
+    And each node serves an ordinary request
+    And the stored job that no node can hold is shown as "failed"
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -3,7 +3,7 @@
 import bisect
 import operator
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import trio
 
@@ -28,6 +28,7 @@
 _MAX_QUEUE_S = 1.0
 _ROW_BYTES = 65536
 _INVALID = 400
+_PAGE_ROWS = 500
 
 
 class MemoryRows:
@@ -200,6 +201,19 @@
         rows.sort(key=lambda row: row.key.key)
         return Page(rows=tuple(rows), version=self._rows.version)
 
+    async def read_pages(
+        self,
+        *,
+        table: str,
+        part: str,
+        handle: Callable[[Sequence[StoredRow]], object],
+    ) -> int:
+        """Hand over the rows of a part of a table in pages."""
+        page = await self.scan(table=table, part=part)
+        for first in range(0, len(page.rows), _PAGE_ROWS):
+            handle(page.rows[first : first + _PAGE_ROWS])
+        return page.version
+
     async def parts(self, *, table: str) -> PartNames:
         """Return the parts of a table that contain rows."""
         await self._begin_call()
--- a/packages/cyclamentrack/cyclamentrack/jobs/admission.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/admission.py
@@ -23,6 +23,7 @@
 from cyclamentrack.jobs.critical_path import compute_critical_path
 from cyclamentrack.jobs.model import Job, JobId, Queue, QueueName
 from cyclamentrack.jobs.order import LATE_FACTOR, Prospect
+from cyclamentrack.jobs.room import Room
 from cyclamentrack.resources import Resources
 
 # Estimates are off by a factor of up to 1.9, so a job of an account within its
@@ -30,6 +31,7 @@
 # A refusal that wasn't needed costs its caller more than a late job.
 _CLEAR_MARGIN = 2.0
 _MAX_RETRY_AFTER_S = 30
+_FULL_RETRY_AFTER_S = 3
 _SHARE_PARTS = 1000
 
 
@@ -52,7 +54,8 @@
 
     A queue without ``waits`` has no backlog ahead of it. ``clear_s`` is how
     long the present backlog takes, and ``far_beyond`` are accounts that
-    have sent far more than their rate.
+    have sent far more than their rate. ``room`` is what the owner's memory has
+    left for jobs, ``None`` if that isn't limited, or not by earlier versions.
     """
 
     capacity: Resources
@@ -60,6 +63,7 @@
     clear_s: float = 0.0
     waits: tuple[QueueWaits, ...] = ()
     far_beyond: tuple[AccountName, ...] = ()
+    room: Room | None = None
 
     def waits_of(self, queue: QueueName) -> QueueWaits | None:
         """Return the waits of a queue, ``None`` without a backlog."""
@@ -115,14 +119,18 @@
     return Refusal.WORTHLESS if expected is Prospect.WORTHLESS else None
 
 
-def retry_after_s(job: JobId, figures: PoolFigures | None) -> int:
+def retry_after_s(
+    job: JobId, figures: PoolFigures | None, *, full: bool = False
+) -> int:
     """Return when a refused caller should try again, in whole seconds.
 
     That is when the backlog will be cleared, and up to as much later, by the
-    job's id, so that callers don't all come back at once.
+    job's id, so that callers don't all come back at once. Room in a ``full``
+    owner's memory is left by jobs that end, which takes seconds.
     """
     clear_s = figures.clear_s if figures else 0.0
-    least = min(max(math.ceil(clear_s), 1), _MAX_RETRY_AFTER_S)
+    soonest = _FULL_RETRY_AFTER_S if full else 1
+    least = min(max(math.ceil(clear_s), soonest), _MAX_RETRY_AFTER_S)
     return least + zlib.crc32(job.encode()) % least
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/backlog.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/backlog.py
@@ -18,6 +18,7 @@
 from cyclamentrack.jobs.model import JobId, QueueName, Step
 from cyclamentrack.jobs.order import Prospect, ready_step
 from cyclamentrack.jobs.registry import JobRegistry, JobRun
+from cyclamentrack.jobs.room import Room
 from cyclamentrack.resources import Resources
 
 # A pool whose backlog takes longer than this is overloaded: no queue's target
@@ -128,13 +129,15 @@
         whole: Resources,
         used: Resources,
         far_beyond: tuple[AccountName, ...] = (),
+        room: Room | None = None,
     ) -> PoolFigures:
         """Measure the backlog and return what nodes need to know of it.
 
         ``whole`` is the capacity of all workers, ``used`` the part of it in
-        use, and ``far_beyond`` are the accounts that have sent far more than
-        their rate. A pool that hasn't been busy isn't overloaded: what waits
-        there waits for permits, for certain workers or for its account's cap.
+        use, ``far_beyond`` are the accounts that have sent far more than their
+        rate, and ``room`` is what is left for jobs. A pool that hasn't been
+        busy isn't overloaded: what waits there waits for permits, for certain
+        workers or for its account's cap.
         """
         self._whole = whole
         if used.dominant_share(whole) >= BUSY_SHARE:
@@ -161,6 +164,7 @@
             clear_s=round(clear_s, 2),
             waits=tuple(waits[:_MAX_QUEUES]) if overloaded else (),
             far_beyond=far_beyond[:_MAX_ACCOUNTS],
+            room=room,
         )
 
     def _measure_work(self, now: float) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/cell.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/cell.py
@@ -37,6 +37,7 @@
 from cyclamentrack.jobs.peer_health import ObservedPeers, PeerHealth
 from cyclamentrack.jobs.peer_watch import MemberEntry, PeerWatch
 from cyclamentrack.jobs.permits import PermitRoute
+from cyclamentrack.jobs.pool_rooms import pool_limit
 from cyclamentrack.jobs.ports import (
     DEFAULT_ROW_BYTES,
     CellTables,
@@ -630,6 +631,9 @@
                     self.configuration_feed.now
                 ),
                 row_bytes=dependencies.row_bytes,
+                memory_limit=lambda: pool_limit(
+                    (self.me, *self.members.values()), self.configuration
+                ),
             ),
         )
         renewer = LeaseRenewer(
--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -4,12 +4,13 @@
 
 import functools
 import logging
+from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
 import msgspec
 import trio
 
-from cyclamentrack.codec import decode
+from cyclamentrack.codec import decode, encode
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.feeds import FeedHealth
@@ -37,8 +38,10 @@
     closed_key,
     job_key,
     may_hold_jobs_of,
+    recorded_job,
 )
 from cyclamentrack.jobs.registry import Closed, JobRun, placements
+from cyclamentrack.jobs.room import MAX_JOB_TASKS, job_bytes, task_count
 from cyclamentrack.jobs.tombstones import TombstoneRemover
 
 if TYPE_CHECKING:
@@ -55,6 +58,9 @@
 _FEED_GAP_S = 0.25
 _CANCELLATIONS_CACHED = 256
 _EXPIRY_CHECK_S = 5.0
+_PARKED_CHECK_S = 0.2
+# Parked jobs that are read from the store at the same time.
+_PARKED_READS = 16
 # Clocks of instances differ, so no job is assumed to be older than this.
 _MAX_JOB_AGE_S = 120.0
 
@@ -75,6 +81,7 @@
         )
         self._former_keys: dict[JobId, RowKey] = {}
         self._versions: dict[JobId, int] = {}
+        self._recorded: frozenset[JobId] = frozenset()
 
     async def recover(self) -> int:
         """Read the registry of earlier owners; return the version to follow."""
@@ -83,7 +90,10 @@
         for row in records.rows:
             if '.' not in row.key.key and row.key.key != HEAD:
                 closed = decode(row.body, Closed)
-                self._owner.registry.closed[JobId(row.key.key)] = closed
+                self._owner.registry.restore_closed(JobId(row.key.key), closed)
+        self._recorded = frozenset(
+            job for row in records.rows if (job := recorded_job(row.key))
+        )
         version = await self._read_jobs()
         for row in sorted(records.rows, key=_version):
             if '.' in row.key.key and row.key.key != VOTERS:
@@ -92,12 +102,16 @@
         for entry in list(self._owner.registry.jobs.values()):
             self._owner.settle(entry)
             self._continue_job(entry)
+        for job in list(self._owner.registry.parked):
+            self._end_cancelled(job)
         self._owner.caps.usage.recover(self._owner.registry)
         _log.info(
-            'slice recovered pool=%s token=%d open=%d closed=%d runs=%d',
+            'slice recovered pool=%s token=%d open=%d parked=%d closed=%d '
+            'runs=%d',
             self._owner.claim.pool,
             self._owner.claim.token,
             len(self._owner.registry.jobs),
+            len(self._owner.registry.parked),
             len(self._owner.registry.closed),
             sum(1 for _ in placements(self._owner.registry)),
         )
@@ -139,6 +153,22 @@
         if job not in self._owner.registry.jobs:
             self._owner.registry.cancels.pop(job, None)
 
+    async def load_parked_jobs(self) -> None:
+        """Load parked jobs from the store once there is room for them."""
+        registry = self._owner.registry
+        while True:
+            await trio.sleep(_PARKED_CHECK_S)
+            room = registry.room
+            due = [
+                job
+                for job, parked in registry.parked.items()
+                if not parked.ending
+                and (room is None or room.admits(parked.size))
+            ]
+            async with trio.open_nursery() as nursery:
+                for job in due[:_PARKED_READS]:
+                    nursery.start_soon(self._load_parked, job)
+
     async def remove_expired_jobs(self) -> None:
         """Remove closed jobs once callers may no longer ask for their state.
 
@@ -178,7 +208,7 @@
         self._owner.quorum.load_voters(voters)
 
     def _continue_job(self, entry: JobRun) -> None:
-        if self._owner.registry.is_cancelled(entry.job):
+        if self._is_cancelled(entry.job):
             self._owner.close(entry, JobState.CANCELLED)
             return
         self._owner.open_due(entry)
@@ -233,8 +263,19 @@
         return found.version
 
     async def _read_part(self, part: str) -> None:
-        page = await self._scan(JOBS, part)
-        for row in page.rows:
+        while True:
+            try:
+                await self._store.read_pages(
+                    table=JOBS, part=part, handle=self._apply_rows
+                )
+            except (StoreUncertainError, StoreRefusedError) as error:
+                self._log_failed_read(error)
+                await trio.sleep(_FEED_RETRY_S)
+                continue
+            return
+
+    def _apply_rows(self, rows: Sequence[StoredRow]) -> None:
+        for row in rows:
             self._apply_row(row)
         self._owner.wake()
 
@@ -243,13 +284,14 @@
             try:
                 return await self._store.scan(table=table, part=part)
             except (StoreUncertainError, StoreRefusedError) as error:
-                _log.warning(
-                    'read failed, retrying slice=%s: %s',
-                    self._owner.claim.pool,
-                    error,
-                )
+                self._log_failed_read(error)
                 await trio.sleep(_FEED_RETRY_S)
 
+    def _log_failed_read(self, error: Exception) -> None:
+        _log.warning(
+            'read failed, retrying slice=%s: %s', self._owner.claim.pool, error
+        )
+
     def _restore_step(self, row: StoredRow) -> None:
         entry = self._owner.registry.jobs.get(JobId(row.key.key.split('.')[0]))
         if entry is None:
@@ -291,14 +333,69 @@
             self._former_keys[job] = row.key
 
     def _admit(self, job: Job) -> None:
+        registry = self._owner.registry
+        known = (registry.jobs, registry.parked, registry.closed)
+        if any(job.id in jobs for jobs in known):
+            return
+        if self._must_stay_parked(job):
+            self._park(job)
+            return
+        self._load(job)
+
+    def _must_stay_parked(self, job: Job) -> bool:
+        """Return whether a job is too large, or there is no room for it now.
+
+        A job that has started or is cancelled is loaded in any case.
+        """
+        if task_count(job) > MAX_JOB_TASKS:
+            return True
+        if job.id in self._recorded or self._is_cancelled(job):
+            return False
+        return not self._owner.registry.admits(job_bytes(job))
+
+    def _park(self, job: Job) -> None:
+        too_large = task_count(job) > MAX_JOB_TASKS
+        parked = self._owner.registry.park(job)
+        self._owner.metrics.count('jobs_parked')
+        _log.info('job parked job=%s bytes=%d', job.id, parked.size)
+        if not too_large:
+            return
+        _log.warning(
+            'job given up job=%s tasks=%d why=it has more than %d tasks',
+            job.id,
+            task_count(job),
+            MAX_JOB_TASKS,
+        )
+        self._owner.metrics.count('jobs_given_up')
+        self._close_parked(job.id, JobState.FAILED)
+
+    async def _load_parked(self, job: JobId) -> None:
+        key = self._former_keys.get(job, job_key(job))
+        try:
+            row = await self._store.read(key)
+        except (StoreUncertainError, StoreRefusedError) as error:
+            _log.info('parked job not read job=%s: %s', job, error)
+            return
+        parked = self._owner.registry.parked.get(job)
+        if parked is None or parked.ending:
+            return
+        if row is None:
+            _log.error('parked job has no row any more job=%s', job)
+            self._owner.registry.parked.pop(job)
+            return
+        stored = decode(row.body, Job)
+        if self._owner.registry.admits(parked.size):
+            self._note_row(row)
+            self._load(stored)
+            self._owner.wake()
+
+    def _load(self, job: Job) -> None:
         age = self._dependencies.wall_clock() - job.accepted_at_s
         arrived = trio.current_time() - min(max(age, 0.0), _MAX_JOB_AGE_S)
         entry = self._owner.registry.admit(
             job=job, queue=self._owner.queue(job), now=arrived
         )
-        if entry is None:
-            return
-        if not self._owner.recovered.is_set():
+        if entry is None or not self._owner.recovered.is_set():
             return
         self._rate(entry)
         _log.info(
@@ -333,12 +430,47 @@
     def _close_cancelled(self, job: JobId, origin: Origin | None) -> None:
         registry = self._owner.registry
         registry.cancels[job] = origin
-        entry = registry.jobs.get(job)
-        if entry is None or not self._owner.recovered.is_set():
+        if not self._owner.recovered.is_set():
             return
-        if registry.is_cancelled(entry.job):
+        self._end_cancelled(job)
+        entry = registry.jobs.get(job)
+        if entry is not None and self._is_cancelled(entry.job):
             self._owner.close(entry, JobState.CANCELLED)
 
+    def _is_cancelled(self, job: Job) -> bool:
+        return self._owner.registry.is_cancelled(job.id, job.origin)
+
+    def _end_cancelled(self, job: JobId) -> None:
+        """Give a parked job its final state if it has been cancelled."""
+        registry = self._owner.registry
+        parked = registry.parked.get(job)
+        if parked is None or parked.ending:
+            return
+        if registry.is_cancelled(job, parked.origin):
+            self._close_parked(job, JobState.CANCELLED)
+
+    def _close_parked(self, job: JobId, state: JobState) -> None:
+        """Set the final state of a job that isn't loaded."""
+        owner = self._owner
+        parked = owner.registry.parked[job]
+        parked.ending = True
+        _log.info('job closed job=%s state=%s parked=yes', job, state.value)
+        origin = parked.origin
+        closed = Closed(
+            state=state,
+            queue=origin.queue,
+            closed_at_s=self._dependencies.wall_clock(),
+            address=origin.address,
+            account=origin.account,
+        )
+        owner.journal.put(closed_key(owner.claim.pool, job), encode(closed))
+        owner.nursery.start_soon(self._publish_parked, job, closed)
+
+    async def _publish_parked(self, job: JobId, closed: Closed) -> None:
+        await self._owner.journal.flushed()
+        self._owner.registry.closed[job] = closed
+        self._owner.registry.parked.pop(job, None)
+
     def _forget(self, job: JobId) -> None:
         self._owner.registry.closed.pop(job)
         self._owner.registry.cancels.pop(job, None)
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -112,6 +112,8 @@
     steady_clock: Callable[[], float]
     suspended_s: Callable[[], float]
     row_bytes: int = DEFAULT_ROW_BYTES
+    # The bytes that the jobs of a pool may take, ``None`` without a limit.
+    memory_limit: Callable[[], int | None] = lambda: None
     # How long a newer configuration may have been stored without being known
     # here, and when the known one was stored.
     configuration_age_s: Callable[[], float] = float
@@ -151,6 +153,7 @@
             claim=claim, dependencies=dependencies, on_change=self.wake
         )
         self.registry.cap_of = self.caps.cap
+        self.registry.memory_limit = dependencies.memory_limit
         self._dependencies = dependencies
         self._store = dependencies.store
         self._wake = trio.Event()
@@ -199,6 +202,7 @@
                 worker_feed.drop_unlisted_runs,
                 VoterRecorder(owner=self).run,
                 intake.remove_expired_jobs,
+                intake.load_parked_jobs,
                 intake.tombstones.run,
                 self.caps.rows.run,
             ):
@@ -244,6 +248,7 @@
             whole=total(one.entry.capacity for one in workers),
             used=total(one.used for one in workers),
             far_beyond=self.account_rates.far_beyond(now),
+            room=self.registry.room,
         )
 
     def typical_s(self, step: StepRun) -> float:
@@ -511,7 +516,7 @@
             worker.failures += 1
             if worker.probing or worker.failures >= _QUARANTINE_FAILURES:
                 quarantine_worker(worker, now, why='failures')
-        task.failed_on.add(worker.entry.id)
+        task.failed_on |= {worker.entry.id}
 
     def _after_end(self, step: StepRun) -> None:
         entry = self.registry.jobs.get(step.name.job)
--- a/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/persistence.py
@@ -51,7 +51,8 @@
     one of its tasks; ``OVER_CAP`` that a gang needs more than the cap of its
     account; ``TOO_LARGE`` that no row of the store can hold the job;
     ``TAKEN`` that the id is that of another queue's job; ``OVERLOADED`` that it
-    was not stored, since admission control refused it.
+    was not stored, since admission control refused it; ``FULL`` that it was not
+    stored, since the owner of its pool has no room left for a job of its size.
     """
 
     STORED = 'kept'
@@ -63,6 +64,7 @@
     TOO_LARGE = 'too large'
     TAKEN = 'taken'
     OVERLOADED = 'overloaded'
+    FULL = 'full'
 
 
 class WriteResult(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/cyclamentrack/cyclamentrack/jobs/ports.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/ports.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import msgspec
@@ -137,6 +137,19 @@
     async def scan(self, *, table: str, part: str) -> Page:
         """Return all rows of a part of a table."""
 
+    async def read_pages(
+        self,
+        *,
+        table: str,
+        part: str,
+        handle: Callable[[Sequence[StoredRow]], object],
+    ) -> int:
+        """Hand over the rows of a part of a table, some at a time.
+
+        A large part then never is in memory as a whole. Returns the version
+        to follow.
+        """
+
     async def parts(self, *, table: str) -> PartNames:
         """Return the parts of a table that hold rows."""
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/records.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/records.py
@@ -59,7 +59,8 @@
     """One node of the cell, with its address and its capacity.
 
     ``cores`` is its share of the processor in cores, and ``link_mbps`` the
-    bandwidth of its link; 0 means unknown. A node that has ``left`` isn't a
+    bandwidth of its link, ``memory_mb`` the memory of the process; 0 means
+    unknown. A node that has ``left`` isn't a
     member any more. A ``doubted`` one was silent for its peers, and writes its
     row anew if it lives.
     """
@@ -70,6 +71,7 @@
     zone: str
     cores: float = 0.0
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
     left: bool = False
     doubted: bool = False
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -31,6 +31,14 @@
     TaskName,
 )
 from cyclamentrack.jobs.ports import DEFAULT_ROW_BYTES
+from cyclamentrack.jobs.room import (
+    CANCELLED_BYTES,
+    CLOSED_BYTES,
+    PARKED_BYTES,
+    Room,
+    job_bytes,
+    occurrence_bytes,
+)
 from cyclamentrack.resources import NO_RESOURCES, Resources
 
 _PERCENT = 100
@@ -137,7 +145,7 @@
     checkpoint: str = ''
     placement: Placement | None = None
     idle_since: float = 0.0
-    failed_on: set[WorkerId] = msgspec.field(default_factory=set)
+    failed_on: frozenset[WorkerId] = frozenset()
 
     @property
     def idle(self) -> bool:
@@ -290,7 +298,9 @@
     """One job that is still in the registry.
 
     ``published`` is set once the final state is durable. A job that is not
-    ``within_rate`` arrived while its account was beyond its rate.
+    ``within_rate`` arrived while its account was beyond its rate. The first
+    ``opened`` occurrences have been opened. ``occupied_bytes`` is what the job
+    is estimated to take.
     """
 
     job: Job
@@ -308,6 +318,7 @@
     published: bool = False
     opened: int = 0
     within_rate: bool = True
+    occupied_bytes: int = 0
 
     @property
     def due_by(self) -> float:
@@ -342,6 +353,18 @@
         return self.started
 
 
+class ParkedJob(msgspec.Struct, kw_only=True, eq=False):
+    """An accepted job without a start that stays in the store for now.
+
+    ``size`` is what it will take once it is loaded. A job that is ``ending``
+    gets its final state without being loaded.
+    """
+
+    origin: Origin
+    size: int
+    ending: bool = False
+
+
 class JobRegistry:
     """All jobs of one slice and their open steps."""
 
@@ -357,6 +380,56 @@
         self.closed: dict[JobId, Closed] = {}
         self.cancels: dict[JobId, Origin | None] = {}
         self.open_steps: dict[StepName, StepRun] = {}
+        self.parked: dict[JobId, ParkedJob] = {}
+        self.memory_limit: Callable[[], int | None] = lambda: None
+        self._occupied_bytes = 0
+        self._origins: dict[Origin, Origin] = {}
+
+    @property
+    def has_jobs(self) -> bool:
+        """Whether there are jobs, counting ended ones until they expire."""
+        return bool(self.jobs or self.parked or self.closed)
+
+    @property
+    def kept_bytes(self) -> int:
+        """What all that is known of jobs is estimated to take."""
+        return (
+            self._occupied_bytes
+            + len(self.parked) * PARKED_BYTES
+            + len(self.closed) * CLOSED_BYTES
+            + len(self.cancels) * CANCELLED_BYTES
+        )
+
+    @property
+    def room(self) -> Room | None:
+        """The room that is left for jobs, ``None`` without a limit."""
+        limit = self.memory_limit()
+        return None if limit is None else Room(limit, limit - self.kept_bytes)
+
+    def park(self, job: Job, *, ending: bool = False) -> ParkedJob:
+        """Note an accepted job without keeping its steps."""
+        parked = ParkedJob(
+            origin=self._shared(job.origin),
+            size=job_bytes(job),
+            ending=ending,
+        )
+        self.parked[job.id] = parked
+        return parked
+
+    def restore_closed(self, job: JobId, closed: Closed) -> None:
+        """Add the final state of a job as it was stored."""
+        origin = self._shared(closed.origin)
+        self.closed[job] = msgspec.structs.replace(
+            closed,
+            queue=origin.queue,
+            address=origin.address,
+            account=origin.account,
+        )
+
+    def admits(self, size: int) -> bool:
+        """Return whether there is room for a job of a size."""
+        room = self.room
+        return room is None or room.admits(size)
 
     def admit(self, *, job: Job, queue: Queue, now: float) -> JobRun | None:
         """Add an accepted job; return ``None`` if its id is known already."""
@@ -372,7 +445,9 @@
         entry = JobRun(
             job=job, queue=queue, arrived_at=now, critical_path=critical_path
         )
+        self.parked.pop(job.id, None)
         self.jobs[job.id] = entry
+        self._occupy(entry, job_bytes(job))
         return entry
 
     def update_pool_capacity(self, capacity: PoolCapacity) -> None:
@@ -450,23 +525,27 @@
         entry.state = state
         for step in entry.steps.values():
             self.open_steps.pop(step.name, None)
+        origin = self._shared(entry.job.origin)
         return Closed(
             state=state,
-            queue=entry.job.queue,
+            queue=origin.queue,
             closed_at_s=wall_s,
-            address=entry.job.origin.address,
-            account=entry.job.account,
+            address=origin.address,
+            account=origin.account,
             running=self._running_need(entry),
         )
 
     def drop(self, entry: JobRun) -> None:
         """Remove a job that has ended and has no runs left."""
-        self.jobs.pop(entry.job.id, None)
+        if self.jobs.pop(entry.job.id, None) is not None:
+            self._occupied_bytes -= entry.occupied_bytes
 
     def state(self, job: JobId) -> JobState | None:
         """Return the state of a job that callers see, ``None`` if unknown."""
         if job in self.closed:
             return self.closed[job].state
+        if job in self.parked:
+            return JobState.QUEUED
         entry = self.jobs.get(job)
         return entry.visible_state if entry else None
 
@@ -474,18 +553,20 @@
         """Return the queue of a job, ``None`` if the job is unknown."""
         if job in self.closed:
             return self.closed[job].origin
+        if job in self.parked:
+            return self.parked[job].origin
         entry = self.jobs.get(job)
         return entry.job.origin if entry else None
 
-    def is_cancelled(self, job: Job) -> bool:
+    def is_cancelled(self, job: JobId, accepted_of: Origin) -> bool:
         """Return whether a job's own queue has cancelled it.
 
         Earlier versions stored cancellations without their queue.
         """
-        if job.id not in self.cancels:
+        if job not in self.cancels:
             return False
-        origin = self.cancels[job.id]
-        return origin is None or origin.matches(job.origin)
+        origin = self.cancels[job]
+        return origin is None or origin.matches(accepted_of)
 
     def waiting(self) -> dict[QueueName, int]:
         """Count by queue the jobs that have not started any task."""
@@ -494,6 +575,10 @@
             if entry.state is None and not entry.has_started():
                 name = entry.job.queue
                 counts[name] = counts.get(name, 0) + 1
+        for parked in self.parked.values():
+            if not parked.ending:
+                name = parked.origin.queue
+                counts[name] = counts.get(name, 0) + 1
         return counts
 
     def restore(self, entry: JobRun, key: str, body: bytes, now: float) -> None:
@@ -502,7 +587,7 @@
         Of a task that two rows hold, the state stored last counts.
         """
         place, first = _parse_row(key)
-        entry.opened = max(entry.opened, place[0] + 1)
+        self._note_opened(entry, max(entry.opened, place[0] + 1))
         run = entry.steps.get(place) or self._open_step(entry, place, now)
         run.stored_rows.add(first)
         if first % _TASKS_PER_ROW:
@@ -523,6 +608,10 @@
                 self.open_steps.pop(run.name, None)
         return moved
 
+    def _shared(self, origin: Origin) -> Origin:
+        """Return one object for all equal origins, to save their texts."""
+        return self._origins.setdefault(origin, origin)
+
     def _running_need(self, entry: JobRun) -> Resources | None:
         """Return what a job's account still uses, ``None`` without a cap."""
         if self.cap_of(entry.job.account) == NO_RESOURCES:
@@ -538,7 +627,18 @@
             due = job.start_at_s + entry.opened * job.interval_s
             if job.timed and wall_s < due:
                 return
-            entry.opened += 1
+            self._note_opened(entry, entry.opened + 1)
+
+    def _note_opened(self, entry: JobRun, opened: int) -> None:
+        """Note that occurrences are open; a job's size includes the first."""
+        more = max(opened, 1) - max(entry.opened, 1)
+        entry.opened = opened
+        if more:
+            self._occupy(entry, more * occurrence_bytes(entry.job))
+
+    def _occupy(self, entry: JobRun, size: int) -> None:
+        entry.occupied_bytes += size
+        self._occupied_bytes += size
 
     def _open_steps(self, entry: JobRun, occurrence: int, now: float) -> None:
         for number, step in enumerate(entry.job.steps):
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -56,9 +56,11 @@
     job_batch,
     tombstone_batch,
 )
+from cyclamentrack.jobs.pool_rooms import PoolRooms
 from cyclamentrack.jobs.ports import Batch, RowKey, StoredRow, StoreRefusedError
 from cyclamentrack.jobs.records import closed_key, former_job_keys, job_key
 from cyclamentrack.jobs.registry import Closed
+from cyclamentrack.jobs.room import job_bytes
 
 _log = logging.getLogger(__name__)
 
@@ -96,6 +98,9 @@
             addresses=cell.peer_addresses,
             store_unreachable=lambda: cell.lease_tracker.store_unreachable,
         )
+        self._rooms = PoolRooms(
+            leases=cell.lease_tracker, owner=cell.owners.get
+        )
 
     async def submit(
         self, job: Job, *, caller_timeout_s: float
@@ -116,6 +121,9 @@
         found = await self._refuse_if_overloaded(job)
         if found is not None:
             return found
+        if not self._rooms.admits(job.pool, job_bytes(job)):
+            return await self._refuse_without_room(job)
+        self._rooms.subtract(job.pool, job_bytes(job))
         result = await self._writer.write_with_retry(
             batch,
             ForwardSubmit(job=job),
@@ -127,9 +135,10 @@
                 return self._accept_stored(stored, job)
         return result.outcome
 
-    def retry_after_s(self, job: Job) -> int:
+    def retry_after_s(self, job: Job, outcome: RequestOutcome) -> int:
         """Return after how many seconds a refused job may be sent again."""
-        return retry_after_s(job.id, self._figures(job))
+        full = outcome is RequestOutcome.FULL
+        return retry_after_s(job.id, self._figures(job), full=full)
 
     async def cancel(
         self,
@@ -274,6 +283,19 @@
             )
         return outcome
 
+    async def _refuse_without_room(self, job: Job) -> RequestOutcome:
+        outcome = await self._refuse(job, RequestOutcome.FULL)
+        if outcome is RequestOutcome.FULL:
+            self._cell.dependencies.metrics.count('jobs_refused_full')
+            _log.info(
+                'job refused job=%s queue=%s account=%s why=full bytes=%d',
+                job.id,
+                job.queue,
+                job.account or 'none',
+                job_bytes(job),
+            )
+        return outcome
+
     def _accept_stored(self, stored: Job, job: Job) -> RequestOutcome:
         if not stored.origin.matches(job.origin):
             return RequestOutcome.TAKEN
--- a/packages/cyclamentrack/cyclamentrack/jobs/slice_needs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/slice_needs.py
@@ -92,7 +92,7 @@
         configuration = self._configuration()
         return (
             not owner.recovered.is_set()
-            or bool(owner.registry.jobs or owner.registry.closed)
+            or owner.registry.has_jobs
             or configuration is None
             or owner.claim.pool in configuration.pools
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -521,7 +521,7 @@
         )
         task = self._owner.registry.task(placement.task)
         if task is not None:
-            task.failed_on.add(placement.worker)
+            task.failed_on |= {placement.worker}
         self._stop_run(placement, step)
 
     def _stop_run(self, placement: Placement, step: StepRun) -> None:
