Open the due repetitions of a job as there is room

A job with 10,000 repetitions that are all due at once, as with StartAtMs 1 and no interval, opened all of them, at some 1,200 bytes each; a dozen such jobs took a node over its memory. Each round also went through all repetitions, ended ones included.

A job now has 100 open at most, from the oldest one that isn't done, and opens more only while there is room. One without an open repetition goes on whatever room is left, so that it can't get stuck. Finished ones are skipped.

"Repetitions that are due at once" failed before (300 open); "A repeated job goes on though there is no room" fails without that exception. job_memory.feature: 10 passed.

--- a/features/jobs/job_memory.feature
+++ b/features/jobs/job_memory.feature
@@ -76,6 +76,19 @@
     And the small job is shown as "completed" by every node
     And no job is parked
 
+  Scenario: Repetitions that are due at once are opened as there is room
+    When a job of 300 repetitions that are all due is submitted
+    Then at most 100 of its repetitions are open at any moment
+    And the repeated job is shown as "completed" by every node
+    And each repetition was started once
+
+  Scenario: A repeated job goes on though there is no room
+    When a job of 3 repetitions of 2500 tasks, 4 seconds apart, is submitted
+    And jobs of 2000 tasks are submitted until one is refused
+    And 40 seconds go by
+    Then the repeated job is shown as "completed" by every node
+    And each repetition was started once
+
   Scenario: A parked job is shown to its own account only
     When a large job is submitted
     And a large job of the account "north" is stored in the same way
--- a/features/processes/accepted_work.feature
+++ b/features/processes/accepted_work.feature
@@ -18,6 +18,7 @@
       | jobs of 200 steps of 50 tasks       | 3     | 128    |
       | small jobs with long texts          | 1     | 96     |
       | small jobs with long texts          | 3     | 96     |
+      | repeated jobs that are due at once  | 1     | 128    |
 
   Scenario: A node starts though more is stored than it can hold
     When a node of 128 MB and 400 descriptors starts with stored jobs
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -47,6 +47,9 @@
 _TASKS_PER_ROW = 64
 # A row of one task has this much besides the checkpoint, at most.
 _ROW_MARGIN_BYTES = 2000
+# Each round looks at all open steps, so a job whose occurrences are due faster
+# than they end has this many open at a time, from the oldest one on.
+_MAX_OPEN_OCCURRENCES = 100
 
 
 class Closed(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -299,8 +302,8 @@
 
     ``published`` is set once the final state is durable. A job that is not
     ``within_rate`` arrived while its account was beyond its rate. The first
-    ``opened`` occurrences have been opened. ``occupied_bytes`` is what the job
-    is estimated to take.
+    ``opened`` occurrences have been opened, and the first ``finished`` of them
+    are done. ``occupied_bytes`` is what the job is estimated to take.
     """
 
     job: Job
@@ -317,6 +320,7 @@
     idle_since: float = 0.0
     published: bool = False
     opened: int = 0
+    finished: int = 0
     within_rate: bool = True
     occupied_bytes: int = 0
 
@@ -477,7 +481,7 @@
         if entry.state is not None:
             return
         self._open_occurrences(entry, now=now, wall_s=wall_s)
-        for occurrence in range(entry.opened):
+        for occurrence in range(entry.finished, entry.opened):
             self._open_steps(entry, occurrence, now)
 
     def task(self, name: TaskName) -> TaskRun | None:
@@ -623,12 +627,37 @@
         self, entry: JobRun, *, now: float, wall_s: float
     ) -> None:
         job = entry.job
+        self._note_finished(entry)
         while entry.opened < job.occurrences:
             due = job.start_at_s + entry.opened * job.interval_s
             if job.timed and wall_s < due:
                 return
+            if not self._may_open_more(entry):
+                return
             self._note_opened(entry, entry.opened + 1)
 
+    def _may_open_more(self, entry: JobRun) -> bool:
+        """Return whether one more occurrence of a job may be opened.
+
+        A job without an unfinished one goes on whatever room is left.
+        """
+        unfinished = entry.opened - entry.finished
+        if not unfinished:
+            return True
+        if unfinished >= _MAX_OPEN_OCCURRENCES:
+            return False
+        return self.admits(occurrence_bytes(entry.job))
+
+    def _note_finished(self, entry: JobRun) -> None:
+        while entry.finished < entry.opened:
+            runs = (
+                entry.steps.get((entry.finished, number))
+                for number in range(len(entry.job.steps))
+            )
+            if not all(run is not None and run.done for run in runs):
+                return
+            entry.finished += 1
+
     def _note_opened(self, entry: JobRun, opened: int) -> None:
         """Note that occurrences are open; a job's size includes the first."""
         more = max(opened, 1) - max(entry.opened, 1)
