Refuse to cancel unknown jobs once they take half of the owner's room

A DELETE that finds no job is remembered for 180 s, by the owner of each pool, and nothing bounded their number: at the 600 writes a second of the store they take some 50 MB a pool.

Once half of an owner's room is in use, such a DELETE is answered 503 with Retry-After, and nothing is stored. Jobs that are known are always cancelled. Half is left, because cancellations would otherwise keep callers out of the room for minutes: with all of it in their hands an ordinary job was refused.

--- a/features/jobs/job_memory.feature
+++ b/features/jobs/job_memory.feature
@@ -89,6 +89,11 @@
     Then the repeated job is shown as "completed" by every node
     And each repetition was started once
 
+  Scenario: Cancellations of unknown jobs are refused once there is no room
+    When 40000 unknown jobs are cancelled through the owner
+    Then the last cancellation is refused, and half of the room is left
+    And a job that is accepted can be cancelled
+
   Scenario: A parked job is shown to its own account only
     When a large job is submitted
     And a large job of the account "north" is stored in the same way
--- a/features/steps/repeated_memory_steps.py
+++ b/features/steps/repeated_memory_steps.py
@@ -1,8 +1,10 @@
 """Steps about repetitions, and cancellations, that take an owner's memory."""
 
+import trio
 from behave import then, when
 
 from cyclamentrack.jobs.model import JobId
+from cyclamentrack.jobs.room import CANCELLED_BYTES
 from cyclamentrack.jobs.service import RequestOutcome
 from cyclamentrack_standins.jobworkers import Behaviour
 from features.harness.jobworld import make_step
@@ -11,8 +13,11 @@
     new_job,
     pool_registry,
     started,
+    submit,
 )
 
+_FIRST_UNKNOWN = 0x1000000
+_CANCELLERS = 50
 _CHECK_S = 0.05
 _CHECKS = 2000
 
@@ -82,3 +87,46 @@
         if task.partition('.')[0] == context.repeated
     ]
     assert len(own) == len(set(own)) == context.count, len(own)
+
+
+@when('{count:d} unknown jobs are cancelled through the owner')
+def cancel_unknown(context, count):
+    world = context.jobs
+    service = world.services[world.owner()]
+    names = iter(range(_FIRST_UNKNOWN, _FIRST_UNKNOWN + count))
+    context.outcomes = []
+
+    async def cancel():
+        for name in names:
+            outcome = await service.cancel(
+                queue=world.queues['lookups'],
+                job=JobId(f'{name:016x}'),
+                caller_timeout_s=3.0,
+            )
+            context.outcomes.append(outcome)
+
+    async def cancel_all():
+        async with trio.open_nursery() as nursery:
+            for _ in range(_CANCELLERS):
+                nursery.start_soon(cancel)
+
+    world.loop.run(cancel_all)
+
+
+@then('the last cancellation is refused, and half of the room is left')
+def check_refused(context):
+    found = context.outcomes
+    assert found[0] is RequestOutcome.NOT_FOUND, found[0]
+    assert found[-1] is RequestOutcome.REFUSED, found[-1]
+    # Those that are decided together may go beyond it.
+    room = pool_registry(context).room
+    slack = _CANCELLERS * CANCELLED_BYTES
+    assert room.free >= room.limit // 2 - slack, room
+
+
+@then('a job that is accepted can be cancelled')
+def check_cancel(context):
+    job = submit(context, make_step(1, cores=0.1), work_s=9.0)
+    context.jobs.loop.sleep(1)
+    outcome = context.jobs.cancel(job)
+    assert outcome is RequestOutcome.STORED, outcome
--- a/packages/cyclamentrack/cyclamentrack/jobs/pool_rooms.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/pool_rooms.py
@@ -73,6 +73,11 @@
         room = self._room(pool)
         return room is None or room.admits(size)
 
+    def admits_cancellations(self, pool: PoolName) -> bool:
+        """Return whether there is room to cancel unknown jobs."""
+        room = self._room(pool)
+        return room is None or room.admits_cancellations
+
     def subtract(self, pool: PoolName, size: int) -> None:
         """Subtract a job that is about to be stored."""
         taken = self._taken_of(pool)
--- a/packages/cyclamentrack/cyclamentrack/jobs/room.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/room.py
@@ -30,6 +30,7 @@
 # Room for this many more jobs of a job's size is kept for smaller ones.
 _JOBS_LEFT = 64
 _LARGEST_RESERVE_PART = 2
+_CANCELLATIONS_PART = 2
 
 
 class Room(msgspec.Struct, frozen=True, array_like=True):
@@ -38,6 +39,14 @@
     limit: int
     free: int
 
+    @property
+    def admits_cancellations(self) -> bool:
+        """Whether cancellations of unknown jobs may be added.
+
+        They are kept for minutes, so they get half of the room at most.
+        """
+        return self.free > self.limit // _CANCELLATIONS_PART
+
     def admits(self, size: int) -> bool:
         """Return whether a job that takes ``size`` bytes may be added.
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/service.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/service.py
@@ -151,9 +151,13 @@
         """Cancel a job; ``NOT_FOUND`` means that there is no such job.
 
         A submission of it may still be on its way to the store, so it is
-        cancelled in advance before that is answered.
+        cancelled in advance before that is answered. That is refused while the
+        owner has no room for it.
         """
         shown = await self.show(queue=queue, job=job, account=account)
+        absent = shown.known and shown.state is None
+        if absent and not self._rooms.admits_cancellations(queue.pool):
+            return RequestOutcome.REFUSED
         message = ForwardCancel(
             pool=shown.pool or queue.pool,
             queue=queue.name,
