Bound how many open steps a scheduling round considers

A node whose pool had some 14,000 open steps, as 73 jobs of 200 steps bring them, answered a POST after 8 s or not at all: a round looks at each open step several times, and each look went through all tasks of the step's job. The memory bound alone allows such numbers.

A round now considers the first 1,000 steps in their order, and 1,000 of the others in turn, so that a job behind steps that no worker may run still starts. Whether a job has a placed task is looked up once a round.

--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -31,6 +31,9 @@
 
 # A worker that hasn't answered for this long gets no new tasks.
 _UNREACHABLE_AFTER_S = 2.6
+# A round considers this many steps in their order, and as many of the others
+# in turn. It blocks the event loop, and a caller's jobs may have thousands.
+_STEPS_PER_ROUND = 1000
 
 
 class Dispatcher:
@@ -51,6 +54,7 @@
         self._account_weight = account_weight
         self._urgent_queues = urgent_queues
         self._kept_for: dict[StepName, frozenset[WorkerId]] = {}
+        self._next_turn = 0
         self._registry = registry
         self._fleet = fleet
         self._permits = permits
@@ -84,7 +88,7 @@
             free_permit_routes=self._permits.free_permit_routes(),
             caps=caps,
         )
-        ready_steps = self._ready_steps(now)
+        ready_steps = self._take_turns(self._ready_steps(now))
         state.add_contention(self._dependencies(ready_steps, state))
         previous = self._kept_for
         self._kept_for = {}
@@ -115,6 +119,16 @@
             found, key=lambda ready: self._sort_key(ready, now, shares)
         )
 
+    def _take_turns(self, ready_steps: list[ReadyStep]) -> list[ReadyStep]:
+        """Return the steps that this round considers, in their order."""
+        others = ready_steps[_STEPS_PER_ROUND:]
+        begin = self._next_turn if self._next_turn < len(others) else 0
+        self._next_turn = begin + _STEPS_PER_ROUND
+        return [
+            *ready_steps[:_STEPS_PER_ROUND],
+            *others[begin : self._next_turn],
+        ]
+
     def _account_shares(
         self, found: list[ReadyStep]
     ) -> dict[AccountName, float]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -20,7 +20,7 @@
     with_free_capacity,
     workers_at_limit,
 )
-from cyclamentrack.jobs.model import Step, TaskName
+from cyclamentrack.jobs.model import JobId, Step, TaskName
 from cyclamentrack.jobs.order import ReadyStep
 from cyclamentrack.jobs.permits import StepPermits
 from cyclamentrack.jobs.registry import JobRegistry, JobRun, StepRun, TaskRun
@@ -155,6 +155,7 @@
         self._eligible: tuple[StepRun, int, list[Worker]] | None = None
         self._registry = registry
         self._forecast: Forecast | None = None
+        self._placed_jobs: dict[JobId, bool] = {}
 
     @property
     def may_request(self) -> bool:
@@ -361,7 +362,15 @@
         since = max(entry.idle_since, step.opened_at)
         if self._busy or self.now - since < _NEGLECT_S:
             return False
-        return not entry.any_placed
+        return not self._has_placed(entry)
+
+    def _has_placed(self, entry: JobRun) -> bool:
+        """Return whether a task of a job was placed before this round."""
+        found = self._placed_jobs.get(entry.job.id)
+        if found is None:
+            found = entry.any_placed
+            self._placed_jobs[entry.job.id] = found
+        return found
 
     def _left_within_cap(self, ready: ReadyStep) -> list[TaskRun]:
         room = self.within_cap(ready)
