Read a parked job through the same path as every other row

Loading a parked job decoded its row by itself, so a row that can't be decoded would have ended the slice's owner, instead of costing that job a log line as elsewhere. The row now goes through the path of all rows.

Found by reading; no test plays an undecodable row of a parked job. job_memory, left_services, late_writes and takeover.feature pass.

--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -104,6 +104,7 @@
             self._continue_job(entry)
         for job in list(self._owner.registry.parked):
             self._end_cancelled(job)
+        self._recorded = frozenset()
         self._owner.caps.usage.recover(self._owner.registry)
         _log.info(
             'slice recovered pool=%s token=%d open=%d parked=%d closed=%d '
@@ -376,18 +377,16 @@
         except (StoreUncertainError, StoreRefusedError) as error:
             _log.info('parked job not read job=%s: %s', job, error)
             return
-        parked = self._owner.registry.parked.get(job)
+        registry = self._owner.registry
+        parked = registry.parked.get(job)
         if parked is None or parked.ending:
             return
         if row is None:
             _log.error('parked job has no row any more job=%s', job)
-            self._owner.registry.parked.pop(job)
-            return
-        stored = decode(row.body, Job)
-        if self._owner.registry.admits(parked.size):
-            self._note_row(row)
-            self._load(stored)
-            self._owner.wake()
+            registry.parked.pop(job)
+        elif registry.admits(parked.size):
+            registry.parked.pop(job)
+            self._apply_rows([row])
 
     def _load(self, job: Job) -> None:
         age = self._dependencies.wall_clock() - job.accepted_at_s
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -410,12 +410,10 @@
         limit = self.memory_limit()
         return None if limit is None else Room(limit, limit - self.kept_bytes)
 
-    def park(self, job: Job, *, ending: bool = False) -> ParkedJob:
+    def park(self, job: Job) -> ParkedJob:
         """Note an accepted job without keeping its steps."""
         parked = ParkedJob(
-            origin=self._shared(job.origin),
-            size=job_bytes(job),
-            ending=ending,
+            origin=self._shared(job.origin), size=job_bytes(job)
         )
         self.parked[job.id] = parked
         return parked
