--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -412,9 +412,7 @@
 
     def park(self, job: Job) -> ParkedJob:
         """Note an accepted job without keeping its steps."""
-        parked = ParkedJob(
-            origin=self._shared(job.origin), size=job_bytes(job)
-        )
+        parked = ParkedJob(origin=self._shared(job.origin), size=job_bytes(job))
         self.parked[job.id] = parked
         return parked
 
