Separate the three ways in which an owner takes in a stored job

Whether a job is loaded, parked or given up was decided in one place and a part of it again in another. Each has a method of its own now. The only change is that a job that is given up is no longer counted in jobs_parked_total.

--- a/packages/cyclamentrack/cyclamentrack/jobs/intake.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/intake.py
@@ -338,29 +338,29 @@
         known = (registry.jobs, registry.parked, registry.closed)
         if any(job.id in jobs for jobs in known):
             return
-        if self._must_stay_parked(job):
+        if task_count(job) > MAX_JOB_TASKS:
+            self._give_up_oversized(job)
+        elif self._has_room_for(job):
+            self._load(job)
+        else:
             self._park(job)
-            return
-        self._load(job)
 
-    def _must_stay_parked(self, job: Job) -> bool:
-        """Return whether a job is too large, or there is no room for it now.
+    def _has_room_for(self, job: Job) -> bool:
+        """Return whether a job may be loaded now.
 
-        A job that has started or is cancelled is loaded in any case.
+        One that has started or is cancelled is loaded in any case.
         """
-        if task_count(job) > MAX_JOB_TASKS:
-            return True
         if job.id in self._recorded or self._is_cancelled(job):
-            return False
-        return not self._owner.registry.admits(job_bytes(job))
+            return True
+        return self._owner.registry.admits(job_bytes(job))
 
     def _park(self, job: Job) -> None:
-        too_large = task_count(job) > MAX_JOB_TASKS
         parked = self._owner.registry.park(job)
         self._owner.metrics.count('jobs_parked')
         _log.info('job parked job=%s bytes=%d', job.id, parked.size)
-        if not too_large:
-            return
+
+    def _give_up_oversized(self, job: Job) -> None:
+        """Fail a job of an earlier version that no owner may load."""
         _log.warning(
             'job given up job=%s tasks=%d why=it has more than %d tasks',
             job.id,
@@ -368,6 +368,7 @@
             MAX_JOB_TASKS,
         )
         self._owner.metrics.count('jobs_given_up')
+        self._owner.registry.park(job)
         self._close_parked(job.id, JobState.FAILED)
 
     async def _load_parked(self, job: JobId) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/room.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/room.py
@@ -11,9 +11,8 @@
 
 from cyclamentrack.jobs.model import Job
 
-# The largest job of any queue; its tasks take about 2 MiB.
 MAX_JOB_TASKS = 10_000
-"""How many tasks a job may have in all of its steps together."""
+"""How many tasks a job may have in all its steps; they take about 2 MiB."""
 
 # What CPython takes, rounded up. A job has its row's fields, a critical path
 # and entries by its id; a step is opened with lists of its tasks and rows.
