--- a/features/processes/crowds.py
+++ b/features/processes/crowds.py
@@ -68,6 +68,18 @@
         body['Spec'] = body['Spec'].ljust(_MAX_TEXT_BYTES)
         await self._all(30, 400, body)
 
+    async def mixed(self):
+        """Send large jobs, small ones with long texts, and due repetitions."""
+        texts = _body(1, 1)
+        texts['Spec'] = texts['Spec'].ljust(_MAX_TEXT_BYTES)
+        repeated = _body(1, 1)
+        repeated |= {'RepeatCount': _MAX_REPETITIONS, 'StartAtMs': 1}
+        await asyncio.gather(
+            self._all(4, 8, _body(_MAX_STEPS, 50)),
+            self._all(6, 150, texts),
+            self._all(2, 3, repeated, prefix=KEPT),
+        )
+
     async def due_repetitions(self):
         """Send jobs whose 10,000 repetitions are due at once."""
         body = _body(1, 1)
@@ -174,7 +186,7 @@
             path = f'{KEPT}{found.oversized}'
             found.shown = await _wait_for_end(nodes[0], path)
         for number, node in enumerate(nodes):
-            found.served.append(await _is_served(cell, node, number))
+            found.served.append(await is_served(cell, node, number))
         for one in figures:
             one.sample()
     finally:
@@ -190,7 +202,7 @@
     found.statuses = crowd.statuses
 
 
-async def _is_served(cell, node, number):
+async def is_served(cell, node, number):
     """Say whether a small job is stored and shown; refusals are repeated."""
     job = cell.new_job(
         name=f'{number + 1:016x}', steps=[(_ORDINARY, {**_PLAN, 'cpu': 100})]
--- a/features/soak.py
+++ b/features/soak.py
@@ -1,6 +1,7 @@
 """Run a soak of the job cell by hand: ``python -m features.soak --seeds N``."""
 
 import asyncio
+import functools
 import logging
 import sys
 from typing import Annotated
@@ -8,6 +9,7 @@
 import typer
 
 from features.harness.soak import Soak
+from features.processes.crowd_soak import CrowdSoak
 from features.processes.soak import ProcessSoak
 
 
@@ -18,12 +20,20 @@
     processes: Annotated[
         bool, typer.Option(help='Play real processes on a real clock.')
     ] = False,
+    crowds: Annotated[
+        bool, typer.Option(help='Play crowds of clients on real processes.')
+    ] = False,
 ) -> None:
     """Play several seeds; print what went wrong, and fail if anything did."""
     logging.disable(logging.CRITICAL)
     failed = 0
     for seed in range(first, first + seeds):
-        problems, played = _play_processes(seed) if processes else _play(seed)
+        play = _play
+        if processes or crowds:
+            play = functools.partial(
+                _play_processes, CrowdSoak if crowds else ProcessSoak
+            )
+        problems, played = play(seed)
         failed += bool(problems)
         sys.stdout.write(f'seed {seed}: {problems or "whole"}\n')
         if problems:
@@ -37,8 +47,8 @@
     return soak.play(), soak.played
 
 
-def _play_processes(seed):
-    soak = ProcessSoak(seed=seed)
+def _play_processes(kind, seed):
+    soak = kind(seed=seed)
     return asyncio.run(soak.play()), (str(soak.folder), soak.played)
 
 
