Check the end of every process in the crowd soak

A node restarts within some 10 ms, and the soak sampled each 50 ms, so it mostly missed how a process had ended. It also left out all processes that end by themselves. A process that was replaced is now looked at afterwards, and one that ended without a SIGTERM or SIGKILL of the soak is a problem.

--- a/features/processes/crowd_soak.py
+++ b/features/processes/crowd_soak.py
@@ -91,8 +91,12 @@
 
     async def _watch(self, node):
         """Check the memory of a node's processes, and how they end."""
+        process = node.process
         while True:
-            process = node.process
+            if node.process is not process:
+                # A node is restarted at once, so its end is seen afterwards.
+                self._note_end(node, process)
+                process = node.process
             if process is not None and process.returncode is None:
                 figures = Figures(node)
                 with contextlib.suppress(OSError):
@@ -101,8 +105,6 @@
                     text = f'{node.name} takes {figures.memory_kb} KB'
                     self.problems.append(text)
                     return
-            elif process is not None:
-                self._note_end(node, process)
             await asyncio.sleep(_SAMPLE_S)
 
     def _note_end(self, node, process):
@@ -112,6 +114,9 @@
         process that hasn't loaded its libraries yet has nothing to finish.
         """
         if process.pid not in self._ending:
+            if process.returncode != -signal.SIGKILL:
+                text = f'{node.name} ended with {process.returncode}'
+                self.problems.append(f'FAULT: {text} by itself')
             return
         self._ending.discard(process.pid)
         log = self._cell.folder / f'{node.name}.log'
