--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -8,10 +8,12 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import json
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import sys
@@ -39,20 +41,27 @@
 _STOP_S = 0.1
 _TICK_S = 0.02
 _WRITERS = set()
+# Cases that run side by side begin at different ports.
+_PORTS = itertools.cycle(
+    range(
+        12000 + os.getpid() * 97 % 9000, 12000 + os.getpid() * 97 % 9000 + 8000
+    )
+)
 _REASONS = defaultdict(lambda: 'Status', {200: 'OK'})
 
 
 def free_ports(count):
-    """Return some ports of the loopback address that are free now."""
-    held = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind((HOST, 0))
-        held.append(one)
-    ports = [one.getsockname()[1] for one in held]
-    for one in held:
-        one.close()
-    return ports
+    """Return some ports of the loopback address that are free now.
+
+    They lie below those that the kernel gives to outgoing connections.
+    """
+    found = []
+    while len(found) < count:
+        port = next(_PORTS)
+        with socket.socket() as one, contextlib.suppress(OSError):
+            one.bind((HOST, port))
+            found.append(port)
+    return found
 
 
 class Record:
@@ -850,6 +859,7 @@
         for writer in list(_WRITERS):
             writer.close()
         await asyncio.sleep(0.2)
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def _limit_memory(self):
         while True:
