Log which condition keeps a neglected step waiting

An owner's log showed permit calls by their size only, so a step that waits because its plan names an unusable worker looked like one whose workers are full or refused. A line a second, for five steps at most, now counts the workers left after each condition and names those whose permits are requested.

--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -28,6 +28,7 @@
 from cyclamentrack.jobs.permits import PermitCache
 from cyclamentrack.jobs.registry import JobRegistry, StepRun, TaskRun
 from cyclamentrack.jobs.rounds import Round, RoundState
+from cyclamentrack.jobs.wait_log import WaitLog
 
 # A worker that hasn't answered for this long gets no new tasks.
 _UNREACHABLE_AFTER_S = 2.6
@@ -59,6 +60,7 @@
         self._fleet = fleet
         self._permits = permits
         self._permit_planner = PermitPlanner(permits=permits)
+        self._wait_log = WaitLog(permits=permits)
 
     def decide(self, now: float, *, max_starts: int) -> Round:
         """Assign ready tasks to workers and charge the workers for them.
@@ -106,6 +108,7 @@
                 self._kept_for[name] = frozenset(plan.starts)
         if caps is not None:
             caps.end()
+        self._wait_log.write(ready_steps, state)
         return state.outcome
 
     def _ready_steps(self, now: float) -> list[ReadyStep]:
