Take the workers of placement, plans and permit requests from one place

Cause: placement left out workers at a step's limit per worker, but the plan of the next start didn't. It named the worker of the task's sibling, and only the permits of planned workers are renewed, so those of all others had expired. The same held for workers that are being probed, which placement denies to a last attempt; and permits were renewed ahead for a step whose permitted workers are all at its limit.

What was ruled out, by the lines 'step waits' of a run: a task that isn't taken for lost, refused permits, kept capacity (eligible=16 permitted=18 fresh=1, and requested= names the worker at the limit alone).

A plan also counts the tasks that a worker has already, and those of the same round. A worker that can't be used can't be planned, so the permits that are renewed are those that a start needs.

--- /dev/null
+++ b/features/decisions/conditions.feature
@@ -0,0 +1,22 @@
+Feature: A step plans and requests permits only for workers on which it can be placed
+
+  Scenario Outline: A waiting task isn't planned on a worker that it can't use (lasting: <lasting>, <condition>)
+    Given a step of <cores> cores a task, lasting <lasting>, whose permits have expired
+    And 4 workers of which the first is <condition>
+    When 3 seconds are played
+    Then a waiting task is placed on a sound worker
+
+    Examples:
+      | condition                      | lasting | cores |
+      | at the limit of the step       | yes     | 6     |
+      | at the limit of the step       | yes     | 1     |
+      | probed before the last attempt | no      | 6     |
+      | probed before the last attempt | no      | 1     |
+      | refusing starts                | yes     | 6     |
+      | full                           | no      | 6     |
+
+  Scenario: A step at its limit on all permitted workers renews no permits
+    Given a step of 1 cores a task, lasting yes, whose permits have expired
+    And 2 workers, each at the limit of the step
+    When 3 seconds are played
+    Then no permits were requested
--- a/features/decisions/starvation.feature
+++ b/features/decisions/starvation.feature
@@ -88,3 +88,19 @@
     When a job of 4 lasting tasks, one a worker, is submitted
     And 3 seconds go by
     Then all tasks of the last job have started
+
+  Scenario Outline: A lasting task whose worker <loss> runs again elsewhere than on its sibling's worker
+    Given a pool of 6 workers with urgent and batch queues
+    And permits are valid for 1 second
+    When a job of 2 lasting tasks of 6 cores, one a worker, is submitted
+    And 4 seconds go by
+    And the later worker of the last job's tasks <loss>
+    And 12 seconds go by
+    Then all tasks of the last job are at work
+    And the workers' record is clean
+
+    Examples:
+      | loss             |
+      | loses power      |
+      | leaves           |
+      | ends its runs    |
--- a/features/steps/starvation_steps.py
+++ b/features/steps/starvation_steps.py
@@ -3,6 +3,7 @@
 from behave import given, step, then, when
 
 from cyclamentrack.ids import WorkerId
+from cyclamentrack.jobs.model import WorkerState
 from features.harness.jobworld import POOL, make_step
 
 _CORES = 16
@@ -48,6 +49,31 @@
     _submit(context, work, only='0 1 2 3 4', queue='batch')
 
 
+@when(
+    'a job of {count:d} lasting tasks of {cores:d} cores, one a worker, '
+    'is submitted'
+)
+def submit_large_lasting(context, count, cores):
+    work = make_step(count, cores=cores, lasting=True, max_per_worker=1)
+    _submit(context, work, only='0 1 2 3 4 5', queue='batch')
+
+
+@when("the later worker of the last job's tasks {loss}")
+def lose_later_worker(context, loss):
+    world = context.jobs
+    worker = max(_at_work(context))
+    if loss == 'leaves':
+        world.add_worker(int(worker[1:]), state=WorkerState.DRAINING)
+        world.loop.sleep(2)
+    if loss == 'ends its runs':
+        world.workers.workers[worker].fails_all = True
+        world.loop.sleep(0.5)
+        world.workers.workers[worker].fails_all = False
+        return
+    world.workers.workers[worker].lose_power()
+    world.drop_worker_entry(int(worker[1:]))
+
+
 @when('a gang is submitted that only the workers "{only}" may run')
 def submit_gang(context, only):
     count = len(only.split())
@@ -92,6 +118,25 @@
     world.permit_service.permitted[context.job].add(WorkerId(f'w{number}'))
 
 
+@then('all tasks of the last job are at work')
+def check_at_work(context):
+    owner = context.jobs.cells[context.jobs.owner()].owners[POOL]
+    entry = owner.registry.jobs[context.job]
+    tasks = [one for step in entry.steps.values() for one in step.tasks]
+    running = _at_work(context)
+    assert len(running) == len(tasks), running
+
+
+def _at_work(context):
+    """Return the workers on which tasks of the last job run."""
+    return [
+        name
+        for name, worker in context.jobs.workers.workers.items()
+        for task, _ in worker.runs
+        if task.job == context.job
+    ]
+
+
 @then('a task of the last job runs on worker {number:d}')
 def check_runs_on(context, number):
     starts = context.jobs.workers.starts
--- a/packages/cyclamentrack/cyclamentrack/jobs/capacity_index.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/capacity_index.py
@@ -5,7 +5,6 @@
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.fleet import Worker, charge
-from cyclamentrack.jobs.layout import is_compatible
 from cyclamentrack.jobs.model import Step
 from cyclamentrack.resources import Resources
 
@@ -48,7 +47,6 @@
             self._workers[number]
             for number in numbers
             if need.fits(self._free_by_number[number])
-            and is_compatible(step, self._workers[number])
         ]
 
     def with_free_capacity(self, step: Step) -> list[Worker]:
@@ -64,11 +62,7 @@
         )
         if not numbers:
             self._rule_out(need)
-        return [
-            self._workers[number]
-            for number in numbers
-            if is_compatible(step, self._workers[number])
-        ]
+        return [self._workers[number] for number in numbers]
 
     def update(self, worker: Worker) -> None:
         """Update the free capacity of a worker that was assigned a task."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -7,6 +7,7 @@
 until then they only take tasks that end before the planned start.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
 import msgspec
@@ -60,14 +61,17 @@
         workers: list[Worker],
         *,
         count: int,
+        tasks_on: Counter[WorkerId],
         previous: frozenset[WorkerId],
     ) -> StartPlan:
         """Return the earliest starts of ``count`` tasks, of a gang together.
 
+        ``tasks_on`` are the step's tasks that count for its limit per worker.
         Workers of the ``previous`` plan are only replaced by others with a
         clearly earlier start: the capacity that was kept on them would be
         wasted. The plan of a gang is empty if it doesn't fit as a whole.
         """
+        limit = step.max_per_worker or count
         times = sorted(
             (
                 at - _REPLACE_MARGIN_S * (worker.entry.id in previous),
@@ -75,7 +79,9 @@
                 worker.entry.id,
             )
             for worker in workers
-            for at in self._start_times(step, worker, count)
+            for at in self._start_times(
+                step, worker, min(limit - tasks_on[worker.entry.id], count)
+            )
         )
         chosen = sorted((at, name) for _, at, name in times[:count])
         if step.gang and len(chosen) < count:
@@ -89,9 +95,8 @@
     def _start_times(
         self, step: Step, worker: Worker, count: int
     ) -> list[float]:
-        """Return when the worker has capacity for one task, for two, ..."""
+        """Return when it has capacity for one task, for two, and so on."""
         need = charge(step)
-        limit = min(step.max_per_worker or count, count)
         free = worker.free
         cores = free.milli_cores - need.milli_cores
         memory = free.memory_mib - need.memory_mib
@@ -99,7 +104,7 @@
         at = self._now
         found: list[float] = []
         releases = iter(self._releases_of(worker))
-        while len(found) < limit:
+        while len(found) < count:
             if cores >= 0 and memory >= 0 and devices >= 0:
                 found.append(at)
                 cores -= need.milli_cores
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -31,20 +31,12 @@
 def with_free_capacity(step: Step, workers: list[Worker]) -> list[Worker]:
     """Return the workers with free capacity for a task of a step."""
     need = charge(step)
-    return [
-        worker
-        for worker in workers
-        if is_compatible(step, worker) and need.fits(worker.free)
-    ]
+    return [worker for worker in workers if need.fits(worker.free)]
 
 
-def workers_at_limit(step: StepRun) -> set[WorkerId]:
-    """Return the workers that have reached a step's limit per worker."""
-    limit = step.step.max_per_worker
-    if not limit:
-        return set()
-    counts = Counter(placement.worker for placement in step.placed)
-    return {worker for worker, count in counts.items() if count >= limit}
+def tasks_per_worker(step: StepRun) -> Counter[WorkerId]:
+    """Count the placed tasks of a step by worker."""
+    return Counter(placement.worker for placement in step.placed)
 
 
 def fits_start(step: StepRun, workers: list[Worker]) -> bool:
@@ -152,9 +144,7 @@
         self._need = charge(step.step)
         self._free = {worker.entry.id: worker.free for worker in workers}
         self._costs: dict[WorkerId, _Cost] = {}
-        self._count: dict[WorkerId, int] = {}
-        for placement in step.placed:
-            self._add(placement.worker)
+        self._count = tasks_per_worker(step)
 
     def best(self, workers: list[Worker], task: TaskRun) -> Worker | None:
         """Return the best worker for a task, if it fits anywhere."""
@@ -176,14 +166,11 @@
         probed = worker.probing and tells_health(self._step)
         self._free[name] = NO_RESOURCES if probed else left
         self._costs.pop(name, None)
-        self._add(name)
-
-    def _add(self, worker: WorkerId) -> None:
-        self._count[worker] = self._count.get(worker, 0) + 1
+        self._count[name] += 1
 
     def _fits(self, worker: Worker) -> bool:
         limit = self._step.max_per_worker
-        if limit and self._count.get(worker.entry.id, 0) >= limit:
+        if limit and self._count[worker.entry.id] >= limit:
             return False
         return self._need.fits(self._free[worker.entry.id])
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
@@ -8,7 +8,7 @@
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.fleet import Worker, charge
 from cyclamentrack.jobs.gangs import StartPlan
-from cyclamentrack.jobs.layout import is_compatible, with_free_capacity
+from cyclamentrack.jobs.layout import with_free_capacity
 from cyclamentrack.jobs.model import PermitPolicy
 from cyclamentrack.jobs.order import ReadyStep
 from cyclamentrack.jobs.permits import (
@@ -61,14 +61,18 @@
             kept_workers.difference_update(one.entry.id for one in eligible)
         candidates = [
             worker
-            for worker in state.plannable(step, keeps=useful or not may_run)
-            if not _is_refused(known, worker, state)
-            and (not known.permitted or worker.entry.id in known.permitted)
+            for worker in state.suitable(
+                step, state.plannable(step, keeps=useful or not may_run), known
+            )
+            if (not known.permitted or worker.entry.id in known.permitted)
             and worker.entry.id not in kept_workers
-            and is_compatible(step.step, worker)
         ]
         plan = state.forecast.plan(
-            step.step, candidates, count=len(left), previous=previous
+            step.step,
+            candidates,
+            count=len(left),
+            tasks_on=state.tasks_on(step),
+            previous=previous,
         )
         if may_request:
             self._renew_for_plan(ready, plan, candidates, state)
@@ -128,9 +132,10 @@
         due = _due_for_plan(policy, known, plan, candidates, step, state)
         fitting = [
             worker
-            for worker in _with_free_capacity(step, state)
-            if not _is_refused(known, worker, state)
-            and worker.entry.id not in known.permitted
+            for worker in state.suitable(
+                step, _with_free_capacity(step, state), known
+            )
+            if worker.entry.id not in known.permitted
             and state.available_to(step, worker)
         ]
         placeable = bool(known.permitted and plan.starts)
@@ -156,10 +161,8 @@
         need = charge(step.step)
         return [
             worker
-            for worker in state.assignable(step)
-            if not _is_refused(known, worker, state)
-            and worker.entry.id not in known.permitted
-            and is_compatible(step.step, worker)
+            for worker in state.suitable(step, state.assignable(step), known)
+            if worker.entry.id not in known.permitted
             and need.fits(worker.entry.capacity)
         ]
 
@@ -175,7 +178,7 @@
             return
         stale = [
             worker
-            for worker in state.usable
+            for worker in state.suitable(step, state.usable, known)
             if worker.entry.id in known.permitted
             and not known.fresh_permit(
                 worker.entry.id, now=state.now, incarnation=worker.incarnation
@@ -229,11 +232,5 @@
     return found
 
 
-def _is_refused(known: StepPermits, worker: Worker, state: RoundState) -> bool:
-    return known.is_refused(
-        worker.entry.id, now=state.now, incarnation=worker.incarnation
-    )
-
-
 def _distinct(workers: list[Worker]) -> list[Worker]:
     return list({worker.entry.id: worker for worker in workers}.values())
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -1,5 +1,6 @@
 """State of one scheduling round: assignments, kept capacity, requests."""
 
+from collections import Counter, defaultdict
 from collections.abc import Iterable
 
 import msgspec
@@ -17,13 +18,14 @@
 from cyclamentrack.jobs.headroom import Headroom
 from cyclamentrack.jobs.layout import (
     fits_start,
+    tasks_per_worker,
     with_free_capacity,
-    workers_at_limit,
 )
-from cyclamentrack.jobs.model import JobId, Step, TaskName
+from cyclamentrack.jobs.model import JobId, Step, StepName, TaskName
 from cyclamentrack.jobs.order import ReadyStep
 from cyclamentrack.jobs.permits import StepPermits
 from cyclamentrack.jobs.registry import JobRegistry, JobRun, StepRun, TaskRun
+from cyclamentrack.jobs.suitability import Suitability
 from cyclamentrack.resources import Resources
 
 # Capacity is kept on at most one in this many workers at a time. The first
@@ -153,6 +155,10 @@
             for one in (worker.entry.capacity for worker in usable)
         }
         self._eligible: tuple[StepRun, int, list[Worker]] | None = None
+        self._suitability: tuple[StepName, int, Suitability] | None = None
+        self._assigned_on: defaultdict[StepName, Counter[WorkerId]] = (
+            defaultdict(Counter)
+        )
         self._registry = registry
         self._forecast: Forecast | None = None
         self._placed_jobs: dict[JobId, bool] = {}
@@ -247,6 +253,7 @@
         self._isolated += isolated
         self.capacity_index.update(worker)
         self.assigned.add(task.name)
+        self._assigned_on[step.name][worker.entry.id] += 1
         self.outcome.assignments.append(
             Assignment(step=step, task=task, worker=worker, permit=permit),
         )
@@ -289,6 +296,34 @@
         )
         return tasks[:count]
 
+    def suitable(
+        self, step: StepRun, workers: Iterable[Worker], known: StepPermits
+    ) -> list[Worker]:
+        """Return those of some workers that may run one more task of a step."""
+        version = self.capacity_index.version
+        if self._suitability is None or self._suitability[:2] != (
+            step.name,
+            version,
+        ):
+            judged = Suitability(
+                entry=self._registry.jobs[step.name.job],
+                step=step,
+                known=known,
+                tasks_on=self.tasks_on(step),
+                now=self.now,
+            )
+            self._suitability = (step.name, version, judged)
+        return self._suitability[-1].among(workers)
+
+    def tasks_on(self, step: StepRun) -> Counter[WorkerId]:
+        """Count a step's tasks by worker, with those of this round.
+
+        It is empty for a step without a limit per worker.
+        """
+        if not step.step.max_per_worker:
+            return Counter()
+        return tasks_per_worker(step) + self._assigned_on[step.name]
+
     def eligible(self, step: StepRun, known: StepPermits) -> list[Worker]:
         """Return the workers with free capacity that a step may use.
 
@@ -319,7 +354,7 @@
         fitting = self.capacity_index.with_free_capacity_among(step.step, among)
         found = [
             worker
-            for worker in self._allowed(step, fitting, known)
+            for worker in self.suitable(step, fitting, known)
             if self.available_to(step, worker)
         ]
         if not self.neglected(step) or fits_start(step, found):
@@ -382,7 +417,7 @@
         return left[:room]
 
     def _find_eligible(self, step: StepRun, known: StepPermits) -> list[Worker]:
-        fitting = self._allowed(
+        fitting = self.suitable(
             step, self.capacity_index.with_free_capacity(step.step), known
         )
         found = [
@@ -393,7 +428,7 @@
         found.extend(self._kept_too_long(step, fitting))
         if not fits_start(step, found):
             quarantined = with_free_capacity(step.step, self.quarantined)
-            found.extend(self._allowed(step, quarantined, known))
+            found.extend(self.suitable(step, quarantined, known))
         return found
 
     def _kept_too_long(
@@ -409,33 +444,6 @@
             and self.kept_until[worker.entry.id] > bound
         ]
 
-    def _allowed(
-        self, step: StepRun, workers: list[Worker], known: StepPermits
-    ) -> list[Worker]:
-        """Leave out workers that may not run a step or are at its limit.
-
-        The last attempt of a failed task isn't spent on a worker that has
-        been quarantined and hasn't been seen to work since.
-        """
-        full = workers_at_limit(step)
-        cautious = self._on_last_attempt(step)
-        return [
-            worker
-            for worker in workers
-            if worker.entry.id not in full
-            and not (cautious and worker.probing)
-            and not known.is_refused(
-                worker.entry.id, now=self.now, incarnation=worker.incarnation
-            )
-        ]
-
-    def _on_last_attempt(self, step: StepRun) -> bool:
-        if step.step.lasting:
-            return False
-        limit = self._registry.jobs[step.name.job].queue.max_attempts
-        failures = max(task.failures for task in step.tasks)
-        return failures > 0 and failures >= limit - 1
-
 
 def _is_busy(workers: list[Worker]) -> bool:
     """Return whether much of the processors, memory or accelerators is used."""
--- a/packages/cyclamentrack/cyclamentrack/jobs/wait_log.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/wait_log.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable, Sequence
 
 from cyclamentrack.jobs.fleet import Worker
-from cyclamentrack.jobs.layout import workers_at_limit
 from cyclamentrack.jobs.order import ReadyStep
 from cyclamentrack.jobs.permits import PermitCache, StepPermits
 from cyclamentrack.jobs.rounds import RoundState
@@ -47,13 +46,14 @@
     def _log_step(self, ready: ReadyStep, state: RoundState) -> None:
         step = ready.step
         known = self._permits.of(step.name)
+        free = state.capacity_index.with_free_capacity(step.step)
         _log.info(
-            'step waits step=%s tasks=%d free=%d full=%d eligible=%d '
+            'step waits step=%s tasks=%d free=%d suitable=%d eligible=%d '
             'permitted=%d fresh=%d pending=%d requested=%s',
             step.name,
             len(ready.waiting),
-            len(state.capacity_index.with_free_capacity(step.step)),
-            len(workers_at_limit(step)),
+            len(free),
+            len(state.suitable(step, free, known)),
             len(state.eligible(step, known)),
             len(known.permitted),
             _count_fresh(known, state),
