Plan a neglected step on quarantined workers only where placement may use them

What callers see: a job, or a lasting task, with nothing running isn't started for as long as a quarantine lasts (6 s at most), beside free and permitted workers.

A neglected step is placed on quarantined workers only if it doesn't fit on others, but its plan chose among all of them, by id where they are free alike. The plan's permits alone are renewed; those of the workers that placement would use had expired.

Now a plan includes quarantined workers under the condition of placement.

Tests: two rows of decisions/conditions.feature (lasting or not) and 200 random pools of up to 8 workers at the limit, quarantined, probed, refusing starts or full, in which a task has to be placed within 3 s.

--- a/features/decisions/conditions.feature
+++ b/features/decisions/conditions.feature
@@ -10,6 +10,8 @@
       | condition                      | lasting | cores |
       | at the limit of the step       | yes     | 6     |
       | at the limit of the step       | yes     | 1     |
+      | quarantined                    | yes     | 6     |
+      | quarantined                    | no      | 6     |
       | probed before the last attempt | no      | 6     |
       | probed before the last attempt | no      | 1     |
       | refusing starts                | yes     | 6     |
@@ -20,3 +22,6 @@
     And 2 workers, each at the limit of the step
     When 3 seconds are played
     Then no permits were requested
+
+  Scenario: In random pools a waiting task is placed beside workers that it can't use
+    Then in 200 random pools a waiting task is placed within 3 seconds
--- a/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
@@ -62,7 +62,9 @@
         candidates = [
             worker
             for worker in state.suitable(
-                step, state.plannable(step, keeps=useful or not may_run), known
+                step,
+                state.plannable(step, known, keeps=useful or not may_run),
+                known,
             )
             if (not known.permitted or worker.entry.id in known.permitted)
             and worker.entry.id not in kept_workers
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -365,13 +365,18 @@
             if worker.entry.id in among
         ]
 
-    def plannable(self, step: StepRun, *, keeps: bool) -> list[Worker]:
+    def plannable(
+        self, step: StepRun, known: StepPermits, *, keeps: bool
+    ) -> list[Worker]:
         """Return the workers that a step's plan may include.
 
         A plan only includes workers that have free capacity now if no
         capacity can be kept for it, or after a round's limit of wider plans.
+        Quarantined workers are included where a neglected step may use them.
         """
         if self.neglected(step):
+            if self._fits_usable(step, known):
+                return self.usable
             return self.assignable(step)
         if (
             keeps
@@ -431,6 +436,15 @@
             found.extend(self.suitable(step, quarantined, known))
         return found
 
+    def _fits_usable(self, step: StepRun, known: StepPermits) -> bool:
+        """Return whether a step fits on workers that aren't quarantined."""
+        usable = [
+            worker
+            for worker in self.eligible(step, known)
+            if self.now >= worker.quarantined_until
+        ]
+        return fits_start(step, usable)
+
     def _kept_too_long(
         self, step: StepRun, fitting: list[Worker]
     ) -> list[Worker]:
