Don't wait for an overdue run while another worker has free capacity

What callers see: a large task or a gang isn't started although workers that may run it are free, for as long as a run on the planned worker outlasts its estimate.

Cause: found while the conditions of plans and placement were compared. A planned worker keeps its place unless another one's start is 0.8 s earlier. The end of an overdue run is always expected 0.3 of its estimate later, which is within that margin for estimates below 2.7 s, so the plan never left it; and only its permits were renewed.

Capacity that is free now is certain, an expected end isn't, so workers that are free now come first. They stay free while they are kept, so a gang's plan doesn't alternate.

--- a/features/decisions/conditions.feature
+++ b/features/decisions/conditions.feature
@@ -23,5 +23,13 @@
     When 3 seconds are played
     Then no permits were requested
 
+  Scenario: A large task doesn't wait for an overdue run while another worker is free
+    Given a step of 9 cores a task, lasting no, whose permits have expired
+    And 4 workers, one of which has an overdue run and the others are full
+    And 3 seconds have been played
+    When the runs on the last worker end
+    And 3 more seconds are played
+    Then a waiting task is placed on the last worker
+
   Scenario: In random pools a waiting task is placed beside workers that it can't use
     Then in 200 random pools a waiting task is placed within 3 seconds
--- a/features/harness/onestep.py
+++ b/features/harness/onestep.py
@@ -20,16 +20,18 @@
     TaskName,
 )
 from cyclamentrack.jobs.ports import Permits
-from cyclamentrack.jobs.registry import Placement
+from cyclamentrack.jobs.registry import Placement, StepRun
 from features.harness.fullpool import POOL, FullPool
 from features.harness.jobworld import make_step
 
 _JOB = JobId('00000000000000aa')
 _OTHERS = JobId('00000000000000bb')
+_OVERDUE = JobId('00000000000000cc')
 _PERMIT_S = 2.0
 _WAITED_S = 2.0
 _ROUND_S = 0.1
 _LONG_S = 60.0
+_ESTIMATE_S = 0.5
 _QUEUE = Queue(
     name=QueueName('blocks'),
     host='h',
@@ -58,17 +60,7 @@
                 worker.entry, capacity=capacity
             )
         self._others = 0
-        job = Job(
-            id=_JOB,
-            queue=_QUEUE.name,
-            pool=POOL,
-            payload='',
-            steps=(step,),
-            accepted_at_s=self.now,
-        )
-        entry = self.registry.admit(job=job, queue=_QUEUE, now=self.now)
-        self.registry.open_due_steps(entry, now=self.now, wall_s=self.now)
-        self.step = self.registry.open_steps[StepName(_JOB, 0, 0)]
+        self.step = self._submit_step(_JOB, step)
         self.now += _WAITED_S
         self._grant(worker.entry.id for worker in self.worker_list)
         self.now += 2 * _PERMIT_S
@@ -106,6 +98,21 @@
         work = make_step(cores=16, lasting=True)
         worker.charge_run(task=task, run=1, step=work)
 
+    def run_overdue(self, number):
+        """Let a run fill a worker that lasts longer than was estimated."""
+        work = make_step(cores=16, estimate=_ESTIMATE_S)
+        run = self._submit_step(_OVERDUE, work)
+        worker = self.worker_list[number]
+        worker.charge_run(task=run.tasks[0].name, run=1, step=work)
+        self._place(run.tasks[0], worker.entry.id, 'p')
+        self.placed -= 1
+
+    def release(self, number):
+        """End all runs of other jobs on a worker."""
+        worker = self.worker_list[number]
+        for task, run in list(worker.charges):
+            worker.release(task=task, run=run)
+
     def leave_sound(self, number):
         """Leave a worker as it is."""
 
@@ -119,6 +126,19 @@
         del queue
         self._grant(call.named)
 
+    def _submit_step(self, name: JobId, step: Step) -> StepRun:
+        job = Job(
+            id=name,
+            queue=_QUEUE.name,
+            pool=POOL,
+            payload='',
+            steps=(step,),
+            accepted_at_s=self.now,
+        )
+        entry = self.registry.admit(job=job, queue=_QUEUE, now=self.now)
+        self.registry.open_due_steps(entry, now=self.now, wall_s=self.now)
+        return self.registry.open_steps[StepName(name, 0, 0)]
+
     def _grant(self, names) -> None:
         granted = dict.fromkeys(names, 'p')
         self.permits.of(self.step.name).update(
--- a/features/steps/condition_steps.py
+++ b/features/steps/condition_steps.py
@@ -36,6 +36,37 @@
     context.names = [_AT_LIMIT] * workers
 
 
+@given(
+    '{workers:d} workers, one of which has an overdue run and the others '
+    'are full'
+)
+def make_overdue(context, workers):
+    context.pool = OneStepPool(
+        workers=workers, step=make_step(1, **context.shape)
+    )
+    context.pool.run_overdue(0)
+    for number in range(1, workers):
+        context.pool.fill(number)
+
+
+@given('{seconds:d} seconds have been played')
+@when('{seconds:d} more seconds are played')
+def play_on(context, seconds):
+    context.pool.play(seconds * 10)
+
+
+@when('the runs on the last worker end')
+def end_runs(context):
+    assert not context.pool.placed
+    context.pool.release(-1)
+
+
+@then('a waiting task is placed on the last worker')
+def check_on_last(context):
+    last = context.pool.worker_list[-1].entry.id
+    assert [one.worker for one in context.pool.step.placed] == [last]
+
+
 @when('{seconds:d} seconds are played')
 def play(context, seconds):
     step = make_step(
--- a/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/gangs.py
@@ -67,13 +67,15 @@
         """Return the earliest starts of ``count`` tasks, of a gang together.
 
         ``tasks_on`` are the step's tasks that count for its limit per worker.
-        Workers of the ``previous`` plan are only replaced by others with a
-        clearly earlier start: the capacity that was kept on them would be
-        wasted. The plan of a gang is empty if it doesn't fit as a whole.
+        Workers of the ``previous`` plan are only replaced by others that are
+        free now or have a clearly earlier start: the capacity that was kept on
+        them would be wasted. The plan of a gang is empty if it doesn't fit as
+        a whole.
         """
         limit = step.max_per_worker or count
         times = sorted(
             (
+                at > self._now,
                 at - _REPLACE_MARGIN_S * (worker.entry.id in previous),
                 at,
                 worker.entry.id,
@@ -83,7 +85,7 @@
                 step, worker, min(limit - tasks_on[worker.entry.id], count)
             )
         )
-        chosen = sorted((at, name) for _, at, name in times[:count])
+        chosen = sorted((at, name) for *_, at, name in times[:count])
         if step.gang and len(chosen) < count:
             return StartPlan(starts={})
         starts: dict[WorkerId, float] = {}
