Place no task on a worker that has shrunk below its runs

What callers see: a best-effort task isn't started beside a free worker; its owner stores a start of it about 70 times a second (286 in 4 s, x86-64, paused clock).

Each start is checked again before it is sent, and withdrawn from a worker whose runs use more than its capacity. Placement didn't ask that: a best-effort task is charged no processors, so it fitted, was placed near its data, withdrawn, and placed there again. A task without memory or accelerators has the same where these have shrunk (read, not played).

Now such workers aren't suitable for any step until enough runs have ended.

Test: a scenario of jobs/start_checks.feature; before, the task never started in 3 s with a free worker; 6 of 6 pass now.

--- a/features/jobs/start_checks.feature
+++ b/features/jobs/start_checks.feature
@@ -43,3 +43,10 @@
     And 9 seconds go by
     Then the job is shown as "completed" by every node
     And the workers' record is clean
+
+  Scenario: A best-effort task isn't placed again and again on a worker that has shrunk below its runs
+    Given a job cell of 1 nodes and 4 workers
+    When the workers of the first rack each run a task of 12 cores and shrink to 8
+    And a best-effort task whose data is in that rack is submitted
+    And 3 seconds go by
+    Then the best-effort task was placed once, on the worker of the other rack
--- a/features/steps/start_check_steps.py
+++ b/features/steps/start_check_steps.py
@@ -14,6 +14,7 @@
     'shrinks': {'capacity': Resources(milli_cores=1000, memory_mib=64000)},
 }
 _IDLE = 9
+_RACK = 'r0'
 
 
 @given('the journal takes {seconds:g} seconds, in which the worker {change}')
@@ -58,3 +59,35 @@
 def check_starts(context):
     workers = {worker for _, _, _, worker in context.jobs.workers.starts}
     assert workers == {f'w{_IDLE}'}, workers
+
+
+@when(
+    'the workers of the first rack each run a task of {cores:d} cores and '
+    'shrink to {left:d}'
+)
+def shrink_rack(context, cores, left):
+    world = context.jobs
+    step = make_step(3, cores=cores, lasting=True, max_per_worker=1)
+    world.submit(msgspec.structs.replace(step, data_rack=_RACK))
+    world.loop.sleep(1)
+    workers = {worker for _, _, _, worker in world.workers.starts}
+    assert workers == {'w0', 'w1', 'w2'}
+    for number in range(3):
+        world.add_worker(number, cores=left)
+    world.loop.sleep(1)
+
+
+@when('a best-effort task whose data is in that rack is submitted')
+def submit_best_effort(context):
+    step = make_step(1, cores=2, fills=True, data_rack=_RACK, lasting=True)
+    context.job = context.jobs.submit(step)[0]
+
+
+@then('the best-effort task was placed once, on the worker of the other rack')
+def check_placed_once(context):
+    starts = [
+        (run, worker)
+        for _, task, run, worker in context.jobs.workers.starts
+        if task.job == context.job
+    ]
+    assert starts == [(1, 'w3')], starts
--- a/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/rounds.py
@@ -150,6 +150,11 @@
         self._max_isolated = max(len(usable) // _WORKERS_PER_ISOLATED, 1)
         self._isolated = sum(one.isolated_run is not None for one in usable)
         self._busy = _is_busy([*usable, *quarantined])
+        self._overfull = {
+            one.entry.id
+            for one in (*usable, *quarantined)
+            if not one.used.fits(one.entry.capacity)
+        }
         self._capacities = {
             (one.milli_cores, one.memory_mib, one.accelerators): one
             for one in (worker.entry.capacity for worker in usable)
@@ -310,6 +315,7 @@
                 step=step,
                 known=known,
                 tasks_on=self.tasks_on(step),
+                overfull=self._overfull,
                 now=self.now,
             )
             self._suitability = (step.name, version, judged)
--- a/packages/cyclamentrack/cyclamentrack/jobs/suitability.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/suitability.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from cyclamentrack.ids import WorkerId
 from cyclamentrack.jobs.fleet import Worker
@@ -25,15 +25,19 @@
         step: StepRun,
         known: StepPermits,
         tasks_on: Counter[WorkerId],
+        overfull: Set[WorkerId],
         now: float,
     ) -> None:
-        """Judge workers for a step of which they have ``tasks_on`` already."""
+        """Judge workers for a step of which they have ``tasks_on`` already.
+
+        ``overfull`` are workers whose runs use more than their capacity.
+        """
         self._step = step.step
         self._known = known
         self._now = now
         self._last_attempt = _on_last_attempt(entry, step)
         limit = step.step.max_per_worker
-        self._full = {
+        self._full = overfull | {
             worker for worker, count in tasks_on.items() if 0 < limit <= count
         }
 
@@ -41,8 +45,10 @@
         """Return those of some workers that may run one more of the tasks.
 
         They aren't at the step's limit, their labels and runs allow it, and
-        they weren't refused. The last attempt of a failed task isn't spent on a
-        worker that was quarantined and hasn't been seen to work since.
+        they weren't refused. A worker that has shrunk below its runs gets none,
+        since the start would be withdrawn. The last attempt of a failed task
+        isn't spent on a worker that was quarantined and hasn't been seen to
+        work since.
         """
         return [
             worker
