Count the isolated start of a round for the limit per worker

What callers could see: two tasks of a step on one worker where AntiAffinity is 1.

Within a round a suspected task is placed in isolation first and its siblings after it, but both choices counted the step's tasks as they were before the round, and took the same list of workers. An isolated worker has no free capacity, which only a task without any needs fits; Cpu and MemMb may be 0.

The siblings are now chosen among the workers that are left, with the tasks of the round counted, as in plans.

--- a/features/decisions/conditions.feature
+++ b/features/decisions/conditions.feature
@@ -33,3 +33,9 @@
 
   Scenario: In random pools a waiting task is placed beside workers that it can't use
     Then in 200 random pools a waiting task is placed within 3 seconds
+
+  Scenario: A suspected task and its sibling aren't placed beyond the step's limit in one round
+    Given a step of 0 cores a task, lasting yes, whose permits have expired
+    And 2 workers and a step of 3 tasks without needs, one of them suspected
+    When 3 seconds are played by the step alone
+    Then no worker has more than one task of the step
--- a/features/steps/condition_steps.py
+++ b/features/steps/condition_steps.py
@@ -2,10 +2,12 @@
 
 import random
 
+import msgspec
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
 
+from cyclamentrack.resources import NO_RESOURCES
 from features.fuzz import fuzz_settings
 from features.harness.jobworld import make_step
 from features.harness.onestep import (
@@ -16,6 +18,7 @@
 )
 
 _AT_LIMIT = 'at the limit of the step'
+_SUSPECTED = 2
 
 
 @given(
@@ -49,6 +52,28 @@
         context.pool.fill(number)
 
 
+@given(
+    '{workers:d} workers and a step of {count:d} tasks without needs, '
+    'one of them suspected'
+)
+def make_suspected(context, workers, count):
+    step = make_step(count, max_per_worker=1, **context.shape)
+    step = msgspec.structs.replace(step, need=NO_RESOURCES)
+    context.pool = OneStepPool(workers=workers, step=step)
+    context.pool.step.tasks[0].suspicion = _SUSPECTED
+
+
+@when('{seconds:d} seconds are played by the step alone')
+def play_alone(context, seconds):
+    context.pool.play(seconds * 10)
+
+
+@then('no worker has more than one task of the step')
+def check_limit(context):
+    placed = [one.worker for one in context.pool.step.placed]
+    assert len(placed) == len(set(placed)) == 2, placed
+
+
 @given('{seconds:d} seconds have been played')
 @when('{seconds:d} more seconds are played')
 def play_on(context, seconds):
--- a/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/dispatch.py
@@ -193,7 +193,14 @@
             chosen = place_isolated(step, alone, allowed)
             self._assign(step, chosen, state, isolated=True)
             tasks = [task for task in tasks if task not in suspected]
-        chosen = place_each(step, tasks, allowed, state.contention)
+            allowed = self._allowed(ready, state)
+        chosen = place_each(
+            step,
+            tasks,
+            allowed,
+            state.contention,
+            tasks_on=state.tasks_on(step),
+        )
         self._assign(step, chosen, state)
 
     def _placeable_tasks(
--- a/packages/cyclamentrack/cyclamentrack/jobs/layout.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/layout.py
@@ -55,9 +55,15 @@
     tasks: list[TaskRun],
     allowed: list[Worker],
     contention: dict[WorkerId, float],
+    tasks_on: Counter[WorkerId],
 ) -> list[tuple[TaskRun, Worker]]:
-    """Choose workers for as many tasks as fit, in the tasks' order."""
-    free = _FreeCapacity(step=step, workers=allowed, contention=contention)
+    """Choose workers for as many tasks as fit, in the tasks' order.
+
+    ``tasks_on`` are the step's tasks that count for its limit per worker.
+    """
+    free = _FreeCapacity(
+        step=step, workers=allowed, contention=contention, tasks_on=tasks_on
+    )
     chosen: list[tuple[TaskRun, Worker]] = []
     for task in tasks:
         worker = free.best(allowed, task)
@@ -99,7 +105,9 @@
     if step.step.rack_sensitive:
         groups = [*_by_rack(allowed), allowed]
     for group in groups:
-        free = _FreeCapacity(step=step, workers=group, contention=contention)
+        free = _FreeCapacity(
+            step=step, workers=group, contention=contention, tasks_on=Counter()
+        )
         chosen: list[tuple[TaskRun, Worker]] = []
         for task in step.tasks:
             worker = free.best(group, task)
@@ -138,13 +146,14 @@
         step: StepRun,
         workers: list[Worker],
         contention: dict[WorkerId, float],
+        tasks_on: Counter[WorkerId],
     ) -> None:
         self._contention = contention
         self._step = step.step
         self._need = charge(step.step)
         self._free = {worker.entry.id: worker.free for worker in workers}
         self._costs: dict[WorkerId, _Cost] = {}
-        self._count = tasks_per_worker(step)
+        self._count = Counter(tasks_on)
 
     def best(self, workers: list[Worker], task: TaskRun) -> Worker | None:
         """Return the best worker for a task, if it fits anywhere."""
