Check first what costs least when workers are chosen for plans and permits

suitable() asks for refusals, two calls a worker, and was given all workers; most of them are then left out for having a permit, or none. It is now given those that are left, and labels and runs are only looked at for steps that ask for them. What is chosen stays the same.

--- a/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/permit_requests.py
@@ -59,16 +59,18 @@
         if state.neglected(step):
             eligible = state.eligible(step, known)
             kept_workers.difference_update(one.entry.id for one in eligible)
-        candidates = [
-            worker
-            for worker in state.suitable(
-                step,
-                state.plannable(step, known, keeps=useful or not may_run),
-                known,
-            )
-            if (not known.permitted or worker.entry.id in known.permitted)
-            and worker.entry.id not in kept_workers
-        ]
+        candidates = state.suitable(
+            step,
+            (
+                worker
+                for worker in state.plannable(
+                    step, known, keeps=useful or not may_run
+                )
+                if (not known.permitted or worker.entry.id in known.permitted)
+                and worker.entry.id not in kept_workers
+            ),
+            known,
+        )
         plan = state.forecast.plan(
             step.step,
             candidates,
@@ -132,14 +134,16 @@
             return
         known = self._permits.of(step.name)
         due = _due_for_plan(policy, known, plan, candidates, step, state)
-        fitting = [
-            worker
-            for worker in state.suitable(
-                step, _with_free_capacity(step, state), known
-            )
-            if worker.entry.id not in known.permitted
-            and state.available_to(step, worker)
-        ]
+        fitting = state.suitable(
+            step,
+            (
+                worker
+                for worker in _with_free_capacity(step, state)
+                if worker.entry.id not in known.permitted
+                and state.available_to(step, worker)
+            ),
+            known,
+        )
         placeable = bool(known.permitted and plan.starts)
         if placeable and not (due or fitting):
             return
@@ -161,12 +165,16 @@
         """
         known = self._permits.of(step.name)
         need = charge(step.step)
-        return [
-            worker
-            for worker in state.suitable(step, state.assignable(step), known)
-            if worker.entry.id not in known.permitted
-            and need.fits(worker.entry.capacity)
-        ]
+        return state.suitable(
+            step,
+            (
+                worker
+                for worker in state.assignable(step)
+                if worker.entry.id not in known.permitted
+                and need.fits(worker.entry.capacity)
+            ),
+            known,
+        )
 
     def _renew_ahead(
         self, entry: JobRun, step: StepRun, state: RoundState
@@ -178,14 +186,20 @@
         known = self._permits.of(step.name)
         if not known.permitted or state.renewals_ahead >= _MAX_AHEAD_RENEWALS:
             return
-        stale = [
-            worker
-            for worker in state.suitable(step, state.usable, known)
-            if worker.entry.id in known.permitted
-            and not known.fresh_permit(
-                worker.entry.id, now=state.now, incarnation=worker.incarnation
-            )
-        ]
+        stale = state.suitable(
+            step,
+            (
+                worker
+                for worker in state.usable
+                if worker.entry.id in known.permitted
+                and not known.fresh_permit(
+                    worker.entry.id,
+                    now=state.now,
+                    incarnation=worker.incarnation,
+                )
+            ),
+            known,
+        )
         if stale:
             state.renewals_ahead += 1
             state.outcome.permit_requests.append(
--- a/packages/cyclamentrack/cyclamentrack/jobs/suitability.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/suitability.py
@@ -35,6 +35,7 @@
         self._step = step.step
         self._known = known
         self._now = now
+        self._selective = bool(step.step.requires or step.step.fills)
         self._last_attempt = _on_last_attempt(entry, step)
         limit = step.step.max_per_worker
         self._full = overfull | {
@@ -55,7 +56,7 @@
             for worker in workers
             if worker.entry.id not in self._full
             and not (self._last_attempt and worker.probing)
-            and is_compatible(self._step, worker)
+            and (not self._selective or is_compatible(self._step, worker))
             and not self._known.is_refused(
                 worker.entry.id,
                 now=self._now,
