--- a/features/harness/onestep.py
+++ b/features/harness/onestep.py
@@ -49,7 +49,7 @@
     """A pool with one step, some tasks of which may be placed already."""
 
     def __init__(self, *, workers: int, step: Step) -> None:
-        """Submit a job of one step; no worker has a permit for it yet."""
+        """Submit a job of one step whose permits have expired."""
         super().__init__(workers=workers, jobs=0, round_s=_ROUND_S)
         self.worker_list = list(self.fleet.workers.values())
         for worker in self.worker_list:
