Count a lost worker as a crash only if an owner has seen it crash

All nodes were twice without power for 4 s, and each time the task's worker drained, left and was replaced on its instance.

Cause: an owner that had never heard a worker took its disappearance for a crash of a run that had just begun (suspicion 2, one crash); two of them give a job up. Only an owner that had itself read `draining` knew better. On a related path, an owner whose list of workers isn't answered misses `draining` and counts a crash as well: five such leaves gave the job up.

Now two questions are kept apart. Any lost worker isolates the task's next start. A crash is counted only if an owner has seen it: this one heard the worker and has followed the list since without a gap of DrainMs, or a former one recorded that the worker fell silent soon after the start. A planned leave is listed as draining for DrainMs at least, so that it can't be taken for a crash then; a task that does crash its workers is still counted, also if each owner is killed soon after the start.

Tests replaced: "A run counts as just begun if its owner hasn't heard of the worker" asserted the fault. An outline of three unseen losses, five times each, and a scenario on the recorded silence take its place. The row "suspicion 5 after 0 crashes is given up" asserted that suspicion without a crash gives a job up; it is isolated now, and a row for one crash joins it.

--- a/features/decisions/crashes.feature
+++ b/features/decisions/crashes.feature
@@ -18,11 +18,27 @@
     When the crash is put down to its runs
     Then its task has suspicion 0 and 0 crashes
 
-  Scenario: A run counts as just begun if its owner hasn't heard of the worker
+  Scenario Outline: A loss that no owner has seen, <run>, isolates the next start and counts as no crash
+    Given <worker>
+    And a run on it that was confirmed at <confirmed> seconds
+    When the crash is put down to its runs 5 times
+    Then its task has suspicion 0 and 0 crashes
+    And it is isolated
+    And no task is given up
+
+    Examples:
+      | run                   | worker                                                             | confirmed |
+      | of a recorded run     | a crashed worker that never answered its owner                     | 0         |
+      | of a run just begun   | a crashed worker that last answered at 100 seconds, then unwatched | 99.9      |
+      | of an unanswered start | a crashed worker that last answered at 100 seconds, then unwatched | 0         |
+
+  Scenario: A run counts as just begun if a former owner recorded that the worker fell silent
     Given a crashed worker that never answered its owner
+    And a run on it whose worker fell silent under its former owner
     And a run on it that was confirmed at 0 seconds
     When the crash is put down to its runs
-    Then its task has suspicion 2 and 1 crashes
+    Then these are the suspicions: "2, 1"
+    And its task has suspicion 2 and 1 crashes
 
   Scenario: A run that had worked before another one came isn't given up for it
     Given a crashed worker that last answered at 100 seconds
@@ -73,4 +89,5 @@
       | 4         | 2       | given up |
       | 3         | 3       | isolated |
       | 4         | 4       | given up |
-      | 5         | 0       | given up |
+      | 5         | 0       | isolated |
+      | 5         | 1       | isolated |
--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -32,6 +32,17 @@
     Then the job is shown as "failed" by every node
     And task 0 of the job was started 5 times at most
 
+  Scenario Outline: A task that crashes its workers <answered> is given up though each owner is killed soon after its start
+    When a job of 1 tasks is submitted whose task 0 <crashes>
+    And the owner is killed and started again 0.6 seconds after each start of the job, 7 times at most
+    Then the job is shown as "failed" by every node
+    And task 0 of the job was started 5 times at most
+
+    Examples:
+      | answered          | crashes                        |
+      | after its answer  | crashes its workers            |
+      | before its answer | crashes its workers unanswered |
+
   Scenario: Tasks that ran beside the one that crashes their workers complete
     When 12 jobs of 4 tasks of 2 seconds are submitted
     And a job of 4 tasks is submitted whose task 0 crashes its workers
--- a/features/jobs/restarts.feature
+++ b/features/jobs/restarts.feature
@@ -15,3 +15,10 @@
     Then the job is shown as "completed" by every node
     And each task of the job was started once
     And the workers' record is clean
+
+  Scenario: A task that crashes its workers is given up if its workers are listed again after their leases have ended
+    Given a job cell of 3 nodes and 9 workers
+    When a job of the steps "1" of 60 seconds is submitted
+    And each of its workers crashes 2 seconds after its start and is listed again 8 seconds later, 4 times
+    And 8 seconds go by
+    Then the job is shown as "failed" by every node
--- a/features/jobs/same_id_crashes.feature
+++ b/features/jobs/same_id_crashes.feature
@@ -33,6 +33,17 @@
     Then the job is shown as "failed" by every node
     And task 0 of the job was started 2 times at most
 
+  Scenario Outline: A task that crashes its workers <answered> is given up though each owner is killed soon after its start
+    When a job of 1 tasks is submitted whose task 0 <crashes>
+    And the owner is killed and started again 0.6 seconds after each start of the job, 7 times at most
+    Then the job is shown as "failed" by every node
+    And task 0 of the job was started 5 times at most
+
+    Examples:
+      | answered          | crashes                        |
+      | after its answer  | crashes its workers            |
+      | before its answer | crashes its workers unanswered |
+
   Scenario: A worker that drains when it ends has not crashed
     When 1 jobs of 1 tasks of 6 seconds are submitted
     And each of its workers drains and ends soon after its start, 3 times
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -18,12 +18,23 @@
 @given('a crashed worker that last answered at {seconds:g} seconds')
 def begin_crash(context, seconds):
     context.heard_at = seconds
+    context.watched = True
+    context.runs = []
+
+
+@given(
+    'a crashed worker that last answered at {seconds:g} seconds, then unwatched'
+)
+def begin_unwatched_loss(context, seconds):
+    context.heard_at = seconds
+    context.watched = False
     context.runs = []
 
 
 @given('a crashed worker that never answered its owner')
 def begin_unknown_crash(context):
     context.heard_at = None
+    context.watched = False
     context.runs = []
 
 
@@ -36,6 +47,7 @@
     job='00000000000000aa',
     since=99.0,
     sent=True,
+    fell_silent=False,
 ):
     name = TaskName(JobId(job), 0, 0, len(context.runs))
     crashes = suspicion // 2
@@ -50,6 +62,7 @@
             since=since,
             confirmed_at=confirmed,
             sent=sent,
+            fell_silent=fell_silent,
         ),
         isolated=isolated,
     )
@@ -74,6 +87,11 @@
     _add_run(context, confirmed, suspicion=suspicion)
 
 
+@given('a run on it whose worker fell silent under its former owner')
+def add_recorded_run(context):
+    _add_run(context, 0, fell_silent=True)
+
+
 @given('a run on it that was never sent')
 def add_unsent_run(context):
     _add_run(context, 0, sent=False)
@@ -94,7 +112,16 @@
 
 @when('the crash is put down to its runs')
 def put_down(context):
-    context.given_up = suspect(context.runs, heard_at=context.heard_at)
+    context.given_up = suspect(
+        context.runs, heard_at=context.heard_at, watched=context.watched
+    )
+    context.task = context.runs[0].task
+
+
+@when('the crash is put down to its runs {times:d} times')
+def put_down_often(context, times):
+    for _ in range(times):
+        put_down(context)
 
 
 @then('no task is given up')
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -13,6 +13,7 @@
 # An owner learns of a worker's new entry within this time.
 _DRAINED_S = 0.4
 _MAX_START_POLLS = 100
+_MAX_RESTART_POLLS = 200
 
 
 @given('crashed workers are replaced after {seconds:g} seconds')
@@ -125,6 +126,38 @@
     world.loop.sleep(seconds)
 
 
+@when(
+    'the owner is killed and started again {seconds:g} seconds after each '
+    'start of the job, {times:d} times at most'
+)
+def kill_after_starts(context, seconds, times):
+    world = context.jobs
+    for number in range(times):
+        _wait_for_start(context, number + 1)
+        world.loop.sleep(seconds)
+        if world.state(context.job) is JobState.FAILED:
+            return
+        owner = world.owner()
+        if owner is not None:
+            world.kill_node(owner)
+            world.start_node(owner)
+
+
+def _wait_for_start(context, count):
+    for _ in range(_MAX_RESTART_POLLS):
+        if len(_starts(context)) >= count:
+            return
+        context.jobs.loop.sleep(_POLL_S)
+
+
+def _starts(context):
+    return [
+        task
+        for _, task, _, _ in context.jobs.workers.starts
+        if task.job == context.job
+    ]
+
+
 @when(
     'each of its workers drains and ends soon after its start, {times:d} times'
 )
@@ -138,6 +171,31 @@
         _drain_and_end(world, _busy_worker(world))
 
 
+@when(
+    'each of its workers crashes {work:g} seconds after its start and is '
+    'listed again {seconds:g} seconds later, {times:d} times'
+)
+def crash_late(context, work, seconds, times):
+    world = context.jobs
+    for number in range(times):
+        _wait_for_start(context, number + 1)
+        worker = _busy_worker(world)
+        world.loop.sleep(work)
+        _crash_unlisted(world, worker, seconds)
+
+
+def _crash_unlisted(world, worker, seconds):
+    async def come_back():
+        worker.vanish()
+        world.rows.remove(_key(worker.entry))
+        await trio.sleep(seconds)
+        worker.crash(incarnation=worker.entry.incarnation + 1)
+        worker.disconnected = False
+        world.restore_worker_entry(worker.entry.id)
+
+    world.loop.run(come_back)
+
+
 def _drain_and_end(world, worker):
     number = int(worker.entry.id.removeprefix('w'))
     incarnation = worker.entry.incarnation
--- a/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
+++ b/packages/cyclamentrack-standins/cyclamentrack_standins/jobrows.py
@@ -35,10 +35,11 @@
     """The rows of a test and the faults of the store.
 
     ``down`` leaves all calls unanswered, ``unanswered_parts`` those to some
-    parts of tables, and ``unanswered_scans`` some scans. ``refused_nodes``
-    get a refusal and ``reset_nodes`` a reset connection. ``lost_replies`` and
-    ``delayed_writes`` count the writes to come whose reply is lost, or which
-    are applied only after seconds. With ``transaction_s`` the transactions of a
+    parts of tables, ``unanswered_scans`` some scans, and ``unanswered_tables``
+    the scans and feeds of whole tables. ``refused_nodes`` get a refusal and
+    ``reset_nodes`` a reset connection. ``lost_replies`` and ``delayed_writes``
+    count the writes to come whose reply is lost, or which are applied only
+    after seconds. With ``transaction_s`` the transactions of a
     part take so long, one after another; while more than one second of them
     wait, others are refused. A transaction with a value over ``row_bytes`` is
     refused for good. ``calls`` counts the calls of all kinds by table.
@@ -54,6 +55,7 @@
         self.reset_nodes: set[str] = set()
         self.unanswered_parts: set[str] = set()
         self.unanswered_scans: set[tuple[str, str]] = set()
+        self.unanswered_tables: set[str] = set()
         self.lost_replies = 0
         self.delayed_writes = 0
         self.feed_delay_s = 0.0
@@ -191,6 +193,7 @@
         """Return all rows of a part of a table."""
         self._rows.calls[table] += 1
         await self._begin_call(part)
+        await self._check_table(table)
         if (table, part) in self._rows.unanswered_scans:
             await self._lose_reply()
         rows = [
@@ -230,6 +233,7 @@
         """Wait up to ``wait_s`` for changes of a table after a version."""
         self._rows.calls[table] += 1
         await self._begin_call()
+        await self._check_table(table)
         if after < self._rows.history_from:
             raise HistoryLostError(table=table)
         with trio.move_on_after(wait_s):
@@ -237,6 +241,7 @@
                 await self._rows.wait_for_change()
         await trio.sleep(self._rows.feed_delay_s)
         await self._begin_call()
+        await self._check_table(table)
         return self._rows.changes(table, after)
 
     async def _begin_call(self, part: str = '') -> None:
@@ -250,6 +255,10 @@
         if down or part in self._rows.unanswered_parts:
             await self._lose_reply()
 
+    async def _check_table(self, table: str) -> None:
+        if table in self._rows.unanswered_tables:
+            await self._lose_reply()
+
     async def _lose_reply(self) -> None:
         await trio.sleep(_LOST_REPLY_S)
         raise StoreUncertainError(message='no answer')
--- a/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
@@ -8,6 +8,10 @@
 while. A task that is suspected enough is given up with its job, before it takes
 down one worker after the other, but not while a run of another job explains the
 crash as well.
+
+Only crashes that an owner has seen count. A worker that was lost while no owner
+watched it may have left as planned, so its tasks are isolated at their next
+start and nothing else.
 """
 
 from collections.abc import Iterable
@@ -28,8 +32,6 @@
 # Two crashes by runs that had just begun, or four by other ones.
 _GIVE_UP_SUSPICION = 4
 _GIVE_UP_CRASHES = 2
-# Rows of earlier versions have suspicion by unanswered starts without a crash.
-_CERTAIN_SUSPICION = 5
 
 
 class CrashedRun(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,14 +44,15 @@
 
 def is_suspected(task: TaskRun) -> bool:
     """Return whether a task must be started in isolation."""
-    return task.suspicion >= _RECENT_SUSPICION
+    return task.lost_unseen or task.suspicion >= _RECENT_SUSPICION
 
 
 def is_hopeless(task: TaskRun) -> bool:
     """Return whether a task is taken to crash every worker."""
-    if task.crashes >= _GIVE_UP_CRASHES:
-        return task.suspicion >= _GIVE_UP_SUSPICION
-    return task.suspicion >= _CERTAIN_SUSPICION
+    return (
+        task.crashes >= _GIVE_UP_CRASHES
+        and task.suspicion >= _GIVE_UP_SUSPICION
+    )
 
 
 def has_worked(placement: Placement, now: float) -> bool:
@@ -65,31 +68,51 @@
     """
     confirmed_at = placement.confirmed_at
     worked_long = 0 < confirmed_at < now - _CLEARED_AFTER_S
-    if not worked_long or not (task.suspicion or task.crashes):
+    suspected = task.suspicion or task.crashes or task.lost_unseen
+    if not worked_long or not suspected:
         return False
-    task.suspicion = 0
-    task.crashes = 0
+    _reset(task)
     return True
 
 
+def had_just_begun(placement: Placement, heard_at: float | None) -> bool:
+    """Return whether a run may have crashed its worker by starting.
+
+    ``heard_at`` is the steady time of the worker's last answer, or ``None`` if
+    it never answered this owner. A former owner may have recorded then that
+    the worker fell silent soon after the start.
+    """
+    if heard_at is None:
+        return placement.fell_silent
+    confirmed_at = placement.confirmed_at
+    return not confirmed_at or confirmed_at > heard_at - _RECENT_START_S
+
+
 def suspect(
-    runs: Iterable[CrashedRun], *, heard_at: float | None
+    runs: Iterable[CrashedRun],
+    *,
+    heard_at: float | None,
+    watched: bool = True,
 ) -> list[TaskRun]:
-    """Raise the suspicion of one crashed worker's runs; return the hopeless.
+    """Raise the suspicion of one lost worker's runs; return the hopeless.
 
     ``heard_at`` is the steady time of its last answer, or ``None`` if it never
-    answered this owner. Isolated runs explain the crash, so that only these
-    are suspected. A run that wasn't sent can't have caused it.
+    answered this owner, which ``watched`` it since then. Isolated runs explain
+    a crash, so that only these are suspected. A run that wasn't sent can't
+    have caused it.
     """
     crashed = [
         run for run in runs if run.placement.sent or run.placement.confirmed_at
     ]
+    if not _is_seen(crashed, heard_at=heard_at, watched=watched):
+        _isolate(crashed)
+        return []
     crashed = [run for run in crashed if run.isolated] or crashed
     newcomer_at = max(
         (
             run.placement.since
             for run in crashed
-            if _had_just_begun(run.placement, heard_at)
+            if had_just_begun(run.placement, heard_at)
         ),
         default=0.0,
     )
@@ -98,12 +121,11 @@
         task = run.task
         confirmed_at = run.placement.confirmed_at
         if heard_at and 0 < confirmed_at < heard_at - _CLEARED_AFTER_S:
-            task.suspicion = 0
-            task.crashes = 0
+            _reset(task)
             continue
         # A run that had worked before another one came hardly is the cause.
         settled = has_worked(run.placement, newcomer_at)
-        recent = _had_just_begun(run.placement, heard_at) and not settled
+        recent = had_just_begun(run.placement, heard_at) and not settled
         task.crashes += 1
         task.suspicion += _RECENT_SUSPICION if recent else _OTHER_SUSPICION
         if not settled:
@@ -111,12 +133,24 @@
     return _hopeless(causes)
 
 
-def _had_just_begun(placement: Placement, heard_at: float | None) -> bool:
-    """Return whether a run may have crashed its worker by starting."""
-    confirmed_at = placement.confirmed_at
-    if not confirmed_at or heard_at is None:
-        return True
-    return confirmed_at > heard_at - _RECENT_START_S
+def _is_seen(
+    crashed: list[CrashedRun], *, heard_at: float | None, watched: bool
+) -> bool:
+    """Return whether this owner or a former one has seen a worker crash."""
+    if heard_at is None:
+        return any(run.placement.fell_silent for run in crashed)
+    return watched
+
+
+def _isolate(lost: list[CrashedRun]) -> None:
+    for run in lost:
+        run.task.lost_unseen = True
+
+
+def _reset(task: TaskRun) -> None:
+    task.suspicion = 0
+    task.crashes = 0
+    task.lost_unseen = False
 
 
 def _hopeless(causes: list[TaskRun]) -> list[TaskRun]:
--- a/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/feeds.py
@@ -27,14 +27,22 @@
     are in seconds of trio's clock; the age also counts the time in which the
     machine was suspended, which ``suspended_s`` returns. All changes from
     before ``known_at``, an earlier reading of ``now``, have been taken over.
+    What an entry says for ``longest_gap_s`` or longer is read by a feed that is
+    answered at least that often.
     """
 
     def __init__(
-        self, *, name: str, suspended_s: Callable[[], float] = float
+        self,
+        *,
+        name: str,
+        suspended_s: Callable[[], float] = float,
+        longest_gap_s: float = math.inf,
     ) -> None:
         """Start as a feed that was never answered."""
         self._name = name
         self._suspended_s = suspended_s
+        self._longest_gap_s = longest_gap_s
+        self._followed_since = math.inf
         self._suspended_before_s = 0.0
         self._answered_at: float | None = None
         self.known_at = -math.inf
@@ -59,6 +67,10 @@
         suspended_s = self._suspended_s() - self._suspended_before_s
         return trio.current_time() - self._answered_at + suspended_s
 
+    def followed_since(self, at: float) -> bool:
+        """Return whether no entry can have gone unread since a steady time."""
+        return self._in_time and at >= self._followed_since
+
     def note_answer(self, asked_at: float | None = None) -> None:
         """Record an answer, including one without changes.
 
@@ -66,6 +78,8 @@
         """
         if asked_at is not None:
             self.known_at = asked_at
+        if not self._in_time:
+            self._followed_since = trio.current_time()
         self._answered_at = trio.current_time()
         self._suspended_before_s = self._suspended_s()
         if self._lost_at is None:
@@ -86,6 +100,11 @@
             self._lost_at = trio.current_time()
             _log.warning('feed lost feed=%s: %s', self._name, error)
 
+    @property
+    def _in_time(self) -> bool:
+        age_s = self.age_s
+        return age_s is not None and age_s < self._longest_gap_s
+
 
 class Rollouts:
     """The versions of the configuration that may still be rolled out.
--- a/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/fleet.py
@@ -50,7 +50,9 @@
     ``disconnected`` until its next answer. It is ``silent`` while the last poll
     of it has no answer, and ``leaving`` is the last incarnation of which an
     entry said that it drains. ``lost_runs`` are those that were
-    given up when its lease had ended without an answer. ``processed`` and
+    given up when its lease had ended without an answer, and
+    ``retired_heard_at`` is when it had answered last if it was retired then
+    and has come back. ``processed`` and
     ``acknowledged`` are the numbers of the last end of this incarnation that
     was processed, and of the last one whose effects are stored.
     """
@@ -70,6 +72,7 @@
     clock_at: float = 0.0
     lease_sent_at: float = 0.0
     heard_at: float = 0.0
+    retired_heard_at: float | None = None
     disconnected: bool = False
     silent: bool = False
     leaving: int = 0
@@ -121,6 +124,11 @@
             return 'its worker has shrunk'
         return ''
 
+    @property
+    def last_heard_at(self) -> float | None:
+        """When the worker answered this owner last, ``None`` if never."""
+        return self.heard_at if self.contacted else self.retired_heard_at
+
     def answers(self, *, now: float) -> bool:
         """Return whether the worker has answered a call recently."""
         return bool(self.heard_at) and now - self.heard_at < _ANSWERING_S
@@ -221,6 +229,7 @@
         entry=entry,
         leaving=former.leaving,
         lost_runs=former.take_lost_runs(),
+        retired_heard_at=former.last_heard_at,
     )
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -22,7 +22,7 @@
 from cyclamentrack.jobs.crashes import CrashedRun, suspect
 from cyclamentrack.jobs.dispatch import Dispatcher
 from cyclamentrack.jobs.fair_share import AccountRates
-from cyclamentrack.jobs.feeds import Rollout
+from cyclamentrack.jobs.feeds import FeedHealth, Rollout
 from cyclamentrack.jobs.fleet import Fleet, Worker
 from cyclamentrack.jobs.intake import JobIntake
 from cyclamentrack.jobs.journal import Journal
@@ -130,6 +130,12 @@
         self.claim = claim
         self.registry = JobRegistry(row_bytes=dependencies.row_bytes)
         self.fleet = Fleet()
+        # A worker that leaves as planned is listed as draining for drain_s.
+        self.worker_list = FeedHealth(
+            name='workers',
+            suspended_s=dependencies.suspended_s,
+            longest_gap_s=dependencies.timings.drain_s,
+        )
         self.quorum = LeaseQuorum(
             claim=claim, suspended_s=dependencies.suspended_s
         )
@@ -325,9 +331,27 @@
     def handle_crash(
         self, runs: list[CrashedRun], *, heard_at: float | None
     ) -> None:
-        """Give up the jobs whose tasks keep crashing their workers."""
-        hopeless = suspect(runs, heard_at=heard_at)
+        """Give up the jobs whose tasks keep crashing their workers.
+
+        ``heard_at`` is when the worker answered this owner last.
+        """
+        watched = heard_at is not None and self.worker_list.followed_since(
+            heard_at
+        )
+        hopeless = suspect(runs, heard_at=heard_at, watched=watched)
         for run in runs:
+            _log.info(
+                'worker lost under task=%s run=%d worker=%s heard=%s '
+                'watched=%s fell_silent=%s crashes=%d suspicion=%d',
+                run.task.name,
+                run.placement.run,
+                run.placement.worker,
+                heard_at is not None,
+                watched,
+                run.placement.fell_silent,
+                run.task.crashes,
+                run.task.suspicion,
+            )
             step = self.registry.step_of(run.task.name)
             if step is not None:
                 self.record_tasks(step, [run.task])
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -90,6 +90,8 @@
     instance: InstanceId = InstanceId('')
     suspicion: int = 0
     crashes: int = 0
+    lost_unseen: bool = False
+    fell_silent: bool = False
 
 
 class Phase(enum.Enum):
@@ -107,7 +109,8 @@
     best-effort run in percent, which is being ordered while ``pacing``, and
     ``reading`` the tail response time of a serving run in milliseconds.
     ``sent`` is set once a start order may have reached the worker, and
-    ``unanswered`` counts the orders to start without an answer.
+    ``unanswered`` counts the orders to start without an answer. The worker
+    ``fell_silent`` soon after the start, while its owner watched it.
     """
 
     task: TaskName
@@ -120,6 +123,7 @@
     permit: str = ''
     sent: bool = False
     unanswered: int = 0
+    fell_silent: bool = False
     lease_until_ms: int | None = None
     confirmed_at: float = 0.0
     percent: float = 0.0
@@ -136,7 +140,8 @@
     """One task: the number of its runs so far and its current placement.
 
     ``crashes`` counts the workers that crashed while it ran or started there,
-    and ``suspicion`` rises with each crash that it may have caused.
+    and ``suspicion`` rises with each crash that it may have caused. With
+    ``lost_unseen`` it has lost a worker that nobody watched.
     """
 
     name: TaskName
@@ -145,6 +150,7 @@
     failures: int = 0
     suspicion: int = 0
     crashes: int = 0
+    lost_unseen: bool = False
     checkpoint: str = ''
     placement: Placement | None = None
     idle_since: float = 0.0
@@ -732,6 +738,8 @@
         placement.instance if placement else InstanceId(''),
         task.suspicion,
         task.crashes,
+        task.lost_unseen,
+        placement.fell_silent if placement else False,
     )
 
 
@@ -752,6 +760,7 @@
     task.failures = row.failures
     task.suspicion = row.suspicion
     task.crashes = row.crashes
+    task.lost_unseen = row.lost_unseen
     task.checkpoint = row.checkpoint
     task.placement = None
     if row.worker:
@@ -764,5 +773,6 @@
             since=now,
             instance=row.instance,
             sent=True,
+            fell_silent=row.fell_silent,
             resumed=True,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -11,7 +11,7 @@
 
 from cyclamentrack.errors import WorkerUnreachableError
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.crashes import CrashedRun, clear
+from cyclamentrack.jobs.crashes import CrashedRun, clear, had_just_begun
 from cyclamentrack.jobs.fleet import Worker
 from cyclamentrack.jobs.model import TaskName, WorkerState
 from cyclamentrack.jobs.pacing import ServingReading, next_pace
@@ -49,6 +49,9 @@
 _MAX_POLL_ANSWER_S = 0.8
 _FIRST_RETRY_S = 0.05
 _RETRY_S = 0.2
+# A worker that closed no connection has fallen silent after this many
+# unanswered polls in a row; single answers are late or lost.
+_SILENT_POLLS = 2
 # An unanswered poll may reach the worker late. After this many in a row, polls
 # don't extend the lease, or it would never be certain that the lease has ended.
 _MAX_UNANSWERED_POLLS = 2
@@ -162,6 +165,8 @@
             self._owner.fleet.note_unanswered(now)
         self._unanswered += 1
         worker.silent = True
+        if worker.disconnected or self._unanswered >= _SILENT_POLLS:
+            self._record_silence()
         if self._leases_expired(now):
             self._drop_all_runs('its lease has expired')
             worker.clock_ms = None
@@ -171,6 +176,35 @@
         again = self._unanswered > 1
         await trio.sleep(_RETRY_S if again else _FIRST_RETRY_S)
 
+    def _record_silence(self) -> None:
+        """Record under which starts the worker fell silent.
+
+        If this owner is lost before the worker is back, its successor can't
+        know otherwise that the worker hasn't left as planned.
+        """
+        worker = self._worker
+        heard_at = worker.heard_at
+        watched = self._owner.worker_list.followed_since(heard_at)
+        if not watched or worker.leaving == worker.incarnation:
+            return
+        for placement in self._placements():
+            recent = placement.sent and had_just_begun(placement, heard_at)
+            if recent and not placement.fell_silent:
+                self._set_silence(placement, fell_silent=True)
+
+    def _clear_silence(self) -> None:
+        """Withdraw what was recorded; the worker still answers."""
+        for placement in self._placements():
+            if placement.fell_silent:
+                self._set_silence(placement, fell_silent=False)
+
+    def _set_silence(self, placement: Placement, *, fell_silent: bool) -> None:
+        placement.fell_silent = fell_silent
+        task = self._owner.registry.task(placement.task)
+        step = self._owner.registry.step_of(placement.task)
+        if task is not None and step is not None:
+            self._owner.record_tasks(step, [task])
+
     def _leases_expired(self, now: float) -> bool:
         """Return whether all leases, also a former owner's, have ended."""
         lease_s = self._owner.timings.worker_lease_s
@@ -188,6 +222,7 @@
         if report.incarnation != worker.incarnation:
             self._apply_restart(report, sent_at)
         worker.take_lost_runs()
+        self._clear_silence()
         worker.record_clock(clock_ms=report.clock_ms, now=now)
         self._unanswered = 0
         self._apply_runs(report, sent_at)
@@ -350,9 +385,8 @@
         ]
         for run in runs:
             self._owner.handle_lost_run(run, why=why)
-        heard = worker is not None and worker.contacted
         self._owner.handle_crash(
-            crashed, heard_at=worker.heard_at if worker and heard else None
+            crashed, heard_at=worker.last_heard_at if worker else None
         )
 
     def _apply_runs(self, report: PollReport, sent_at: float) -> None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/worker_feed.py
@@ -9,7 +9,6 @@
 
 from cyclamentrack.errors import StoreUncertainError
 from cyclamentrack.ids import WorkerId
-from cyclamentrack.jobs.feeds import FeedHealth
 from cyclamentrack.jobs.fleet import Worker, lease_end
 from cyclamentrack.jobs.lease_quorum import EXTENSION_S
 from cyclamentrack.jobs.ports import (
@@ -48,7 +47,7 @@
         self._store = dependencies.store
         self._contact_limiter = trio.CapacityLimiter(_CONCURRENT_CONTACTS)
         self._listed = trio.Event()
-        self._health = FeedHealth(name='workers')
+        self._health = owner.worker_list
 
     async def follow(self) -> None:
         """Follow the list until cancelled."""
@@ -57,9 +56,7 @@
         while True:
             try:
                 if version is None:
-                    page = await self._store.scan(table=table, part='')
-                    self._replace_entries(page.rows)
-                    version = page.version
+                    version = await self._read_list()
                 changes = await self._store.follow(
                     table=table, after=version, wait_s=_FEED_WAIT_S
                 )
@@ -102,6 +99,13 @@
                     placement, why='its worker is not listed'
                 )
 
+    async def _read_list(self) -> int:
+        table = self._dependencies.tables.workers
+        page = await self._store.scan(table=table, part='')
+        self._replace_entries(page.rows)
+        self._health.note_answer()
+        return page.version
+
     def _replace_entries(self, rows: tuple[StoredRow, ...]) -> None:
         present = {WorkerId(row.key.key) for row in rows}
         for worker in self._owner.fleet.workers:
