Record a closed connection instead of silence under a start

What callers may see: a job given up for workers that were silent for a while soon after its starts, for instance behind a broken link, and then left as planned while all nodes were down.

Cause: two unanswered polls in a row were recorded as if the worker had crashed, and the next owner counted that. A silent worker may be alive and leave as planned before anyone hears it again.

Now only a connection that the worker closed is recorded, at the first poll that fails after its last answer; silence isolates the next start and counts for nothing.

The scenarios in which each owner is killed soon after the start of a task that crashes its workers still pass.

--- a/features/decisions/crashes.feature
+++ b/features/decisions/crashes.feature
@@ -32,9 +32,9 @@
       | of a run just begun   | a crashed worker that last answered at 100 seconds, then unwatched | 99.9      |
       | of an unanswered start | a crashed worker that last answered at 100 seconds, then unwatched | 0         |
 
-  Scenario: A run counts as just begun if a former owner recorded that the worker fell silent
+  Scenario: A run counts as just begun if a former owner recorded that the worker's connection was lost
     Given a crashed worker that never answered its owner
-    And a run on it whose worker fell silent under its former owner
+    And a run on it whose worker closed its connection to a former owner
     And a run on it that was confirmed at 0 seconds
     When the crash is put down to its runs
     Then these are the suspicions: "2, 1"
--- a/features/jobs/planned_leaves.feature
+++ b/features/jobs/planned_leaves.feature
@@ -30,6 +30,12 @@
       | came back under new ids  | runs under another id     |
       | began again under theirs | begins again under its id |
 
+  Scenario: A worker that was silent and left before anyone heard it again hasn't crashed
+    When a job of the steps "1" of 60 seconds is submitted
+    And the task's worker is silent from soon after its start and leaves as planned while all nodes are down, 3 times
+    And 8 seconds go by
+    Then the job is shown as "running" by every node
+
   Scenario: A worker that was silent for a while and answered again before it left unwatched hasn't crashed
     When a job of the steps "1" of 60 seconds is submitted
     And the task's worker is silent for 3 seconds soon after its start and leaves as planned while all nodes are down, 3 times
@@ -42,7 +48,7 @@
     And 4 seconds go by
     And all nodes are down while the task's worker leaves as planned and runs under another id, 1 times
     And 3 seconds go by
-    Then the log of the owner has "heard=False watched=False fell_silent=False crashes=0 suspicion=0"
+    Then the log of the owner has "heard=False watched=False connection_lost=False crashes=0 suspicion=0"
 
   Scenario: The next owner doesn't count a worker that the former one has seen drain
     When a job of the steps "1" of 60 seconds is submitted
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -47,7 +47,7 @@
     job='00000000000000aa',
     since=99.0,
     sent=True,
-    fell_silent=False,
+    connection_lost=False,
 ):
     name = TaskName(JobId(job), 0, 0, len(context.runs))
     crashes = suspicion // 2
@@ -62,7 +62,7 @@
             since=since,
             confirmed_at=confirmed,
             sent=sent,
-            fell_silent=fell_silent,
+            connection_lost=connection_lost,
         ),
         isolated=isolated,
     )
@@ -87,9 +87,9 @@
     _add_run(context, confirmed, suspicion=suspicion)
 
 
-@given('a run on it whose worker fell silent under its former owner')
+@given('a run on it whose worker closed its connection to a former owner')
 def add_recorded_run(context):
-    _add_run(context, 0, fell_silent=True)
+    _add_run(context, 0, connection_lost=True)
 
 
 @given('a run on it that was never sent')
--- a/features/steps/planned_leave_steps.py
+++ b/features/steps/planned_leave_steps.py
@@ -14,6 +14,8 @@
 # A draining worker serves for 2 s and a little longer.
 _DRAINING_S = 2.1
 _SHORTLY_S = 0.5
+# An owner gets no answer to several polls meanwhile.
+_SILENT_S = 2.0
 # An owner learns of a changed entry within this time.
 _LISTED_S = 0.4
 _UNWATCHED_S = 4.0
@@ -82,6 +84,18 @@
         world.start_node(name)
 
 
+@when(
+    "the task's worker is silent from soon after its start and leaves as "
+    'planned while all nodes are down, {times:d} times'
+)
+def replace_silent(context, times):
+    world = context.jobs
+    for number in range(times):
+        _wait_for_run(world).unreachable = True
+        world.loop.sleep(_SILENT_S)
+        _leave_in_the_dark(world, _FIRST_SUCCESSOR + number)
+
+
 @then('the stored task has lost {worker} unseen')
 def check_stored(context, worker):
     rows = context.jobs.rows.rows
--- a/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
@@ -80,10 +80,10 @@
 
     ``heard_at`` is the steady time of the worker's last answer, or ``None`` if
     it never answered this owner. A former owner may have recorded then that
-    the worker fell silent soon after the start.
+    the worker closed its connection soon after the start.
     """
     if heard_at is None:
-        return placement.fell_silent
+        return placement.connection_lost
     confirmed_at = placement.confirmed_at
     return not confirmed_at or confirmed_at > heard_at - _RECENT_START_S
 
@@ -138,7 +138,7 @@
 ) -> bool:
     """Return whether this owner or a former one has seen a worker crash."""
     if heard_at is None:
-        return any(run.placement.fell_silent for run in crashed)
+        return any(run.placement.connection_lost for run in crashed)
     return watched
 
 
--- a/packages/cyclamentrack/cyclamentrack/jobs/owner.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/owner.py
@@ -342,13 +342,13 @@
         for run in runs:
             _log.info(
                 'worker lost under task=%s run=%d worker=%s heard=%s '
-                'watched=%s fell_silent=%s crashes=%d suspicion=%d',
+                'watched=%s connection_lost=%s crashes=%d suspicion=%d',
                 run.task.name,
                 run.placement.run,
                 run.placement.worker,
                 heard_at is not None,
                 watched,
-                run.placement.fell_silent,
+                run.placement.connection_lost,
                 run.task.crashes,
                 run.task.suspicion,
             )
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -91,7 +91,7 @@
     suspicion: int = 0
     crashes: int = 0
     lost_unseen: bool = False
-    fell_silent: bool = False
+    connection_lost: bool = False
 
 
 class Phase(enum.Enum):
@@ -109,8 +109,9 @@
     best-effort run in percent, which is being ordered while ``pacing``, and
     ``reading`` the tail response time of a serving run in milliseconds.
     ``sent`` is set once a start order may have reached the worker, and
-    ``unanswered`` counts the orders to start without an answer. The worker
-    ``fell_silent`` soon after the start, while its owner watched it.
+    ``unanswered`` counts the orders to start without an answer. With
+    ``connection_lost`` the worker closed its connection soon after the start,
+    while an owner watched it.
     """
 
     task: TaskName
@@ -123,7 +124,7 @@
     permit: str = ''
     sent: bool = False
     unanswered: int = 0
-    fell_silent: bool = False
+    connection_lost: bool = False
     lease_until_ms: int | None = None
     confirmed_at: float = 0.0
     percent: float = 0.0
@@ -739,7 +740,7 @@
         task.suspicion,
         task.crashes,
         task.lost_unseen,
-        placement.fell_silent if placement else False,
+        placement.connection_lost if placement else False,
     )
 
 
@@ -773,6 +774,6 @@
             since=now,
             instance=row.instance,
             sent=True,
-            fell_silent=row.fell_silent,
+            connection_lost=row.connection_lost,
             resumed=True,
         )
--- a/packages/cyclamentrack/cyclamentrack/jobs/watch.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/watch.py
@@ -49,9 +49,6 @@
 _MAX_POLL_ANSWER_S = 0.8
 _FIRST_RETRY_S = 0.05
 _RETRY_S = 0.2
-# A worker that closed no connection has fallen silent after this many
-# unanswered polls in a row; single answers are late or lost.
-_SILENT_POLLS = 2
 # An unanswered poll may reach the worker late. After this many in a row, polls
 # don't extend the lease, or it would never be certain that the lease has ended.
 _MAX_UNANSWERED_POLLS = 2
@@ -165,8 +162,8 @@
             self._owner.fleet.note_unanswered(now)
         self._unanswered += 1
         worker.silent = True
-        if worker.disconnected or self._unanswered >= _SILENT_POLLS:
-            self._record_silence()
+        if worker.disconnected and self._unanswered == 1:
+            self._record_lost_connection()
         if self._leases_expired(now):
             self._drop_all_runs('its lease has expired')
             worker.clock_ms = None
@@ -176,11 +173,12 @@
         again = self._unanswered > 1
         await trio.sleep(_RETRY_S if again else _FIRST_RETRY_S)
 
-    def _record_silence(self) -> None:
-        """Record under which starts the worker fell silent.
+    def _record_lost_connection(self) -> None:
+        """Record under which starts the worker closed its connection.
 
         If this owner is lost before the worker is back, its successor can't
-        know otherwise that the worker hasn't left as planned.
+        know otherwise that the worker hasn't left as planned. A worker that
+        only falls silent may be alive, so that nothing is recorded then.
         """
         worker = self._worker
         heard_at = worker.heard_at
@@ -189,17 +187,17 @@
             return
         for placement in self._placements():
             recent = placement.sent and had_just_begun(placement, heard_at)
-            if recent and not placement.fell_silent:
-                self._set_silence(placement, fell_silent=True)
+            if recent and not placement.connection_lost:
+                self._mark_connection(placement, lost=True)
 
-    def _clear_silence(self) -> None:
+    def _withdraw_lost_connection(self) -> None:
         """Withdraw what was recorded; the worker still answers."""
         for placement in self._placements():
-            if placement.fell_silent:
-                self._set_silence(placement, fell_silent=False)
+            if placement.connection_lost:
+                self._mark_connection(placement, lost=False)
 
-    def _set_silence(self, placement: Placement, *, fell_silent: bool) -> None:
-        placement.fell_silent = fell_silent
+    def _mark_connection(self, placement: Placement, *, lost: bool) -> None:
+        placement.connection_lost = lost
         task = self._owner.registry.task(placement.task)
         step = self._owner.registry.step_of(placement.task)
         if task is not None and step is not None:
@@ -222,7 +220,7 @@
         if report.incarnation != worker.incarnation:
             self._apply_restart(report, sent_at)
         worker.take_lost_runs()
-        self._clear_silence()
+        self._withdraw_lost_connection()
         worker.record_clock(clock_ms=report.clock_ms, now=now)
         self._unanswered = 0
         self._apply_runs(report, sent_at)
