Count a start without an answer only if the worker closed its connection

Cause: each start that had been sent counted as a crash by a run that had just begun as soon as another incarnation of the worker answered. Whether it had reached the worker at all wasn't known.

A worker that a task crashes closes its connections; one that loses power falls silent. The owner records the former at the first poll that fails, so a start in doubt counts with that record only. Without it the task is isolated at its next start, and nothing is counted.

Tasks that crash their workers unanswered are still given up after two crashes (same_id_crashes.feature, crashes.feature).

In the unit scenarios an unanswered start on "a crashed worker" now comes with its closed connection, as the poller records it; what they expect is the same.

--- a/features/decisions/crashes.feature
+++ b/features/decisions/crashes.feature
@@ -32,6 +32,26 @@
       | of a run just begun   | a crashed worker that last answered at 100 seconds, then unwatched | 99.9      |
       | of an unanswered start | a crashed worker that last answered at 100 seconds, then unwatched | 0         |
 
+  Scenario: A start that a worker without power never answered isolates the next one and counts as no crash
+    Given a worker without power that last answered at 100 seconds
+    And a run on it that was confirmed at 0 seconds
+    When the crash is put down to its runs 5 times
+    Then its task has suspicion 0 and 0 crashes
+    And it is isolated
+    And no task is given up
+
+  Scenario Outline: A run that <what> when its worker lost power adds <suspicion> to the suspicion of its task, also beside a start in doubt
+    Given a worker without power that last answered at 100 seconds
+    And a run on it that was confirmed at <confirmed> seconds
+    And a run on it of another job that was placed at 99.8 seconds, unanswered
+    When the crash is put down to its runs
+    Then these are the suspicions: "<suspicion>, 0"
+
+    Examples:
+      | what                 | confirmed | suspicion |
+      | had just begun       | 99.5      | 2         |
+      | had worked for long  | 95        | 1         |
+
   Scenario: A run counts as just begun if a former owner recorded that the worker's connection was lost
     Given a crashed worker that never answered its owner
     And a run on it whose worker closed its connection to a former owner
--- a/features/jobs/restarts.feature
+++ b/features/jobs/restarts.feature
@@ -16,6 +16,14 @@
     And each task of the job was started once
     And the workers' record is clean
 
+  Scenario: A job isn't failed for starts that workers without power never answered
+    Given a job cell of 3 nodes and 4 workers
+    When a job of the steps "1" of 1 seconds is submitted
+    And the workers of its first 4 starts lose power for 2 seconds just before these arrive
+    And 20 seconds go by
+    Then the job is shown as "completed" by every node
+    And the workers' record is clean
+
   Scenario: A task that crashes its workers is given up if its workers are listed again after their leases have ended
     Given a job cell of 3 nodes and 9 workers
     When a job of the steps "1" of 60 seconds is submitted
--- a/features/steps/blame_steps.py
+++ b/features/steps/blame_steps.py
@@ -19,6 +19,15 @@
 def begin_crash(context, seconds):
     context.heard_at = seconds
     context.watched = True
+    context.closed = True
+    context.runs = []
+
+
+@given('a worker without power that last answered at {seconds:g} seconds')
+def begin_silent_loss(context, seconds):
+    context.heard_at = seconds
+    context.watched = True
+    context.closed = False
     context.runs = []
 
 
@@ -28,6 +37,7 @@
 def begin_unwatched_loss(context, seconds):
     context.heard_at = seconds
     context.watched = False
+    context.closed = False
     context.runs = []
 
 
@@ -35,6 +45,7 @@
 def begin_unknown_crash(context):
     context.heard_at = None
     context.watched = False
+    context.closed = False
     context.runs = []
 
 
@@ -47,7 +58,7 @@
     job='00000000000000aa',
     since=99.0,
     sent=True,
-    connection_lost=False,
+    closed=False,
 ):
     name = TaskName(JobId(job), 0, 0, len(context.runs))
     crashes = suspicion // 2
@@ -62,7 +73,7 @@
             since=since,
             confirmed_at=confirmed,
             sent=sent,
-            connection_lost=connection_lost,
+            connection_lost=closed or (context.closed and not confirmed),
         ),
         isolated=isolated,
     )
@@ -89,7 +100,7 @@
 
 @given('a run on it whose worker closed its connection to a former owner')
 def add_recorded_run(context):
-    _add_run(context, 0, connection_lost=True)
+    _add_run(context, 0, closed=True)
 
 
 @given('a run on it that was never sent')
--- a/features/steps/restart_steps.py
+++ b/features/steps/restart_steps.py
@@ -11,6 +11,7 @@
 _CRASH_INTERVAL_S = 4.0
 _WORK_S = 0.6
 _TICK_S = 0.0005
+_MAX_TICKS = 30000
 
 
 @when(
@@ -53,6 +54,31 @@
     worker.crash(incarnation=2)
 
 
+@when(
+    'the workers of its first {count:d} starts lose power for {seconds:g} '
+    'seconds just before these arrive'
+)
+def lose_power_before_starts(context, count, seconds):
+    world = context.jobs
+    for run in range(1, count + 1):
+        placement = _await_sent(world, run)
+        number = int(placement.worker.removeprefix('w'))
+        world.workers.workers[placement.worker].lose_power()
+        world.loop.sleep(seconds)
+        _return(world, number)
+
+
+def _await_sent(world, run):
+    """Return a run's placement when its start is on its way."""
+    for _ in range(_MAX_TICKS):
+        registry = world.cells[world.owner()].owners[POOL].registry
+        for placement in placements(registry):
+            if placement.sent and placement.run == run:
+                return placement
+        world.loop.sleep(_TICK_S)
+    raise AssertionError(f'run {run} was never sent')
+
+
 @then('all of these jobs are shown as "{state}"')
 def check_submitted(context, state):
     world = context.jobs
--- a/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
@@ -10,8 +10,9 @@
 crash as well.
 
 Only crashes that an owner has seen count. A worker that was lost while no owner
-watched it may have left as planned, so its tasks are isolated at their next
-start and nothing else.
+watched it may have left as planned, and one that never answered a start may
+have lost power before. Such tasks are isolated at their next start and nothing
+else.
 """
 
 from collections.abc import Iterable
@@ -101,49 +102,66 @@
     a crash, so that only these are suspected. A run that wasn't sent can't
     have caused it.
     """
-    crashed = [
+    sent = [
         run for run in runs if run.placement.sent or run.placement.confirmed_at
     ]
-    if not _is_seen(crashed, heard_at=heard_at, watched=watched):
-        _isolate(crashed)
-        return []
-    crashed = [run for run in crashed if run.isolated] or crashed
-    newcomer_at = max(
-        (
-            run.placement.since
-            for run in crashed
-            if had_just_begun(run.placement, heard_at)
-        ),
-        default=0.0,
-    )
-    causes: list[TaskRun] = []
-    for run in crashed:
-        task = run.task
-        confirmed_at = run.placement.confirmed_at
-        if heard_at and 0 < confirmed_at < heard_at - _CLEARED_AFTER_S:
-            _reset(task)
-            continue
-        # A run that had worked before another one came hardly is the cause.
-        settled = has_worked(run.placement, newcomer_at)
-        recent = had_just_begun(run.placement, heard_at) and not settled
-        task.crashes += 1
-        task.suspicion += _RECENT_SUSPICION if recent else _OTHER_SUSPICION
-        if not settled:
-            causes.append(task)
+    seen = _seen(sent, heard_at=heard_at, watched=watched)
+    _isolate(run for run in sent if run not in seen)
+    suspected = [run for run in sent if run.isolated] or sent
+    newcomer_at = _newcomer_at(suspected, heard_at)
+    causes = [
+        run.task
+        for run in suspected
+        if run in seen and _charge(run, heard_at, newcomer_at)
+    ]
     return _hopeless(causes)
 
 
-def _is_seen(
-    crashed: list[CrashedRun], *, heard_at: float | None, watched: bool
+def _charge(
+    run: CrashedRun, heard_at: float | None, newcomer_at: float
 ) -> bool:
-    """Return whether this owner or a former one has seen a worker crash."""
+    """Count a crash; return whether the run may have caused it."""
+    task = run.task
+    confirmed_at = run.placement.confirmed_at
+    if heard_at and 0 < confirmed_at < heard_at - _CLEARED_AFTER_S:
+        _reset(task)
+        return False
+    # A run that had worked before another one came hardly is the cause.
+    settled = has_worked(run.placement, newcomer_at)
+    recent = had_just_begun(run.placement, heard_at) and not settled
+    task.crashes += 1
+    task.suspicion += _RECENT_SUSPICION if recent else _OTHER_SUSPICION
+    return not settled
+
+
+def _seen(
+    sent: list[CrashedRun], *, heard_at: float | None, watched: bool
+) -> list[CrashedRun]:
+    """Return the runs under which an owner has seen the worker crash.
+
+    A start without an answer may never have reached the worker, unless it
+    closed its connection then.
+    """
+    lost = [run for run in sent if run.placement.connection_lost]
     if heard_at is None:
-        return any(run.placement.connection_lost for run in crashed)
-    return watched
+        return sent if lost else []
+    if not watched:
+        return []
+    return [run for run in sent if run in lost or run.placement.confirmed_at]
+
+
+def _newcomer_at(runs: list[CrashedRun], heard_at: float | None) -> float:
+    """Return when the last run that had just begun was placed."""
+    recent = [
+        run.placement.since
+        for run in runs
+        if had_just_begun(run.placement, heard_at)
+    ]
+    return max(recent, default=0.0)
 
 
-def _isolate(lost: list[CrashedRun]) -> None:
-    for run in lost:
+def _isolate(runs: Iterable[CrashedRun]) -> None:
+    for run in runs:
         run.task.lost_unseen = True
 
 
