Correct wording that a newcomer would stumble over

Cause: reading the whole change again.

No code: without docstrings, the syntax trees of both modules are equal to those of the commit before.

--- a/features/decisions/crashes.feature
+++ b/features/decisions/crashes.feature
@@ -27,9 +27,9 @@
     And no task is given up
 
     Examples:
-      | run                   | worker                                                             | confirmed |
-      | of a recorded run     | a crashed worker that never answered its owner                     | 0         |
-      | of a run just begun   | a crashed worker that last answered at 100 seconds, then unwatched | 99.9      |
+      | run                    | worker                                                             | confirmed |
+      | of a recorded run      | a crashed worker that never answered its owner                     | 0         |
+      | of a run just begun    | a crashed worker that last answered at 100 seconds, then unwatched | 99.9      |
       | of an unanswered start | a crashed worker that last answered at 100 seconds, then unwatched | 0         |
 
   Scenario: A start that a worker without power never answered isolates the next one and counts as no crash
@@ -48,9 +48,9 @@
     Then these are the suspicions: "<suspicion>, 0"
 
     Examples:
-      | what                 | confirmed | suspicion |
-      | had just begun       | 99.5      | 2         |
-      | had worked for long  | 95        | 1         |
+      | what                   | confirmed | suspicion |
+      | had just begun         | 99.5      | 2         |
+      | had worked for a while | 95        | 1         |
 
   Scenario: A run counts as just begun if a former owner recorded that the worker's connection was lost
     Given a crashed worker that never answered its owner
--- a/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/crashes.py
@@ -139,8 +139,8 @@
 ) -> list[CrashedRun]:
     """Return the runs under which an owner has seen the worker crash.
 
-    A start without an answer may never have reached the worker, unless it
-    closed its connection then.
+    A start without an answer may never have reached the worker. If the worker
+    closed its connection then, it is taken to have arrived.
     """
     lost = [run for run in sent if run.placement.connection_lost]
     if heard_at is None:
--- a/packages/cyclamentrack/cyclamentrack/jobs/registry.py
+++ b/packages/cyclamentrack/cyclamentrack/jobs/registry.py
@@ -142,7 +142,7 @@
 
     ``crashes`` counts the workers that crashed while it ran or started there,
     and ``suspicion`` rises with each crash that it may have caused. With
-    ``lost_unseen`` it has lost a worker that nobody watched.
+    ``lost_unseen`` it has lost a worker, and no owner has seen it crash.
     """
 
     name: TaskName
